--- /dev/null
+++ b/src/main/java/org/dunespindle/Daemon.java
@@ -0,0 +1,149 @@
+package org.dunespindle;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.coordination.Controller;
+import org.dunespindle.coordination.FrontDesk;
+import org.dunespindle.coordination.Peers;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.protocol.WorkerReport;
+import org.dunespindle.transport.HttpCall;
+import org.dunespindle.transport.HttpCaller;
+import org.dunespindle.transport.HttpListener;
+import org.dunespindle.transport.HttpReply;
+
+/** Ties a controller to its listeners. One event loop does everything, so nothing needs a lock. */
+public final class Daemon implements AutoCloseable {
+    private static final int BODY_LIMIT = 64 << 10;
+    private static final int PEER_BODY_LIMIT = 1 << 20;
+    private static final String JSON = "application/json";
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final Controller controller;
+    private final Channel front;
+    private final Channel peer;
+
+    public Daemon(Settings settings) throws InterruptedException {
+        EventLoop loop = group.next();
+        var timeline = new LoopTimeline(loop);
+        controller = new Controller(settings, new HttpCaller(loop), timeline);
+        front = HttpListener.open(group, settings.front(), BODY_LIMIT, this::front, status -> packed(status, Pack.map().put("error", refusal(status)), Optional.empty()));
+        peer = HttpListener.open(group, settings.peerListen(), PEER_BODY_LIMIT, this::peer, status -> json(status, Pack.map().put("error", refusal(status))));
+        loop.execute(controller::start);
+    }
+
+    /** Time as the event loop keeps it. */
+    private record LoopTimeline(EventLoop loop, long origin) implements Timeline {
+        LoopTimeline(EventLoop loop) {
+            this(loop, System.nanoTime());
+        }
+
+        @Override
+        public Duration now() {
+            return Duration.ofNanos(System.nanoTime() - origin);
+        }
+
+        @Override
+        public Instant wallTime() {
+            return Instant.now();
+        }
+
+        @Override
+        public void after(Duration delay, Runnable work) {
+            loop.schedule(work, delay.toNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    public void awaitEnd() throws InterruptedException {
+        front.closeFuture().sync();
+    }
+
+    @Override
+    public void close() {
+        front.close();
+        peer.close();
+        group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
+    }
+
+    private static String refusal(int status) {
+        return switch (status) {
+            case 413 -> "the body is longer than 64 KiB";
+            case 500 -> "the service failed at this request";
+            default -> "the request is malformed";
+        };
+    }
+
+    private static HttpReply packed(int status, ObjectNode body, Optional<Duration> retryAfter) {
+        return new HttpReply(status, Pack.TYPE, Pack.write(body), retryAfter);
+    }
+
+    private static HttpReply json(int status, ObjectNode body) {
+        return new HttpReply(status, JSON, Peers.write(body), Optional.empty());
+    }
+
+    private void front(HttpCall call, Consumer<HttpReply> reply) {
+        Consumer<FrontDesk.Answer> user = a -> reply.accept(packed(a.status(), a.body(), a.retryAfter()));
+        String path = call.path();
+        if (path.equals("/agent/beat")) {
+            only("POST", call, reply, () -> beat(call, reply));
+        } else if (path.equals("/healthz")) {
+            only("GET", call, reply, () -> {
+                boolean well = controller.healthy();
+                reply.accept(new HttpReply(well ? 200 : 503, "text/plain", (well ? "ok" : "not ready").getBytes(StandardCharsets.US_ASCII), Optional.empty()));
+            });
+        } else if (path.equals("/submissions")) {
+            only("POST", call, reply, () -> controller.frontDesk().submit(call.body(), user));
+        } else if (path.startsWith("/submissions/")) {
+            String rest = path.substring("/submissions/".length());
+            if (rest.endsWith("/withdraw")) {
+                only("POST", call, reply, () -> controller.frontDesk().cancel(rest.substring(0, rest.length() - "/withdraw".length()), user));
+            } else if (rest.indexOf('/') < 0 && !rest.isEmpty()) {
+                only("GET", call, reply, () -> controller.frontDesk().poll(rest, user));
+            } else {
+                notFound(reply);
+            }
+        } else {
+            notFound(reply);
+        }
+    }
+
+    private static void notFound(Consumer<HttpReply> reply) {
+        reply.accept(packed(404, Pack.map().put("error", "no such path"), Optional.empty()));
+    }
+
+    private static void only(String method, HttpCall call, Consumer<HttpReply> reply, Runnable work) {
+        if (call.method().equals(method)) {
+            work.run();
+        } else {
+            reply.accept(packed(405, Pack.map().put("error", call.path() + " takes " + method), Optional.empty()));
+        }
+    }
+
+    private void beat(HttpCall call, Consumer<HttpReply> reply) {
+        try {
+            WorkerReport report = WorkerReport.parse(Pack.read(call.body()));
+            controller.hostDesk().report(report, (status, body) -> reply.accept(packed(status, body, Optional.empty())));
+        } catch (MalformedException e) {
+            reply.accept(packed(400, Pack.map().put("error", e.getMessage()), Optional.empty()));
+        }
+    }
+
+    private void peer(HttpCall call, Consumer<HttpReply> reply) {
+        if (call.path().equals("/peer/word") && call.method().equals("POST")) {
+            controller.peers().hear(call.body());
+            reply.accept(json(200, controller.ownWord()));
+        } else {
+            reply.accept(json(404, Pack.map().put("error", "no such path")));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/Main.java
@@ -0,0 +1,62 @@
+package org.dunespindle;
+
+import java.nio.file.Path;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.Settings;
+import picocli.CommandLine;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Model.OptionSpec;
+import picocli.CommandLine.ParseResult;
+
+/** The program: {@code --config FILE} runs a controller until it is killed. */
+public final class Main {
+    private static final int BAD_SETTINGS = 2;
+
+    private Main() {}
+
+    public static void main(String[] args) {
+        String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
+        System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+        System.exit(new CommandLine(spec()).setExecutionStrategy(Main::execute).execute(args));
+    }
+
+    private static CommandSpec spec() {
+        CommandSpec spec = CommandSpec.create().name("dunespindle").mixinStandardHelpOptions(true).version("dunespindle 0.1.0");
+        spec.usageMessage().description("A cluster scheduler: runs arrays and gangs on rented machines.");
+        spec.addOption(OptionSpec.builder("--config").paramLabel("FILE").type(Path.class).description("Run a controller with this settings file (TOML).").build());
+        CommandSpec rehearse = CommandSpec.create().name("rehearse");
+        rehearse.usageMessage().description("Start up against nothing and end, for the build's class archive.").hidden(true);
+        spec.addSubcommand("rehearse", rehearse);
+        return spec;
+    }
+
+    private static int execute(ParseResult parsed) {
+        if (parsed.hasSubcommand()) {
+            return Rehearsal.run();
+        }
+        Path file = parsed.matchedOptionValue("--config", null);
+        if (file == null) {
+            parsed.commandSpec().commandLine().usage(System.err);
+            return BAD_SETTINGS;
+        }
+        Settings settings;
+        try {
+            settings = Settings.load(file);
+        } catch (MalformedException e) {
+            System.err.println("dunespindle: settings: " + e.getMessage());
+            return BAD_SETTINGS;
+        }
+        try (var daemon = new Daemon(settings)) {
+            daemon.awaitEnd();
+            return 0;
+        } catch (InterruptedException e) {
+            return 1;
+        } catch (RuntimeException e) {
+            System.err.println("dunespindle: cannot start: " + e.getMessage());
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/bookkeeping/JobRecord.java
@@ -0,0 +1,246 @@
+package org.dunespindle.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import it.unimi.dsi.fastutil.ints.IntRBTreeSet;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Submission;
+
+/**
+ * A job as the state service keeps it.
+ *
+ * <p>Array tasks start in index order, so {@code next} (the first index never started), the ones to
+ * start again and the claims say everything: the rest below {@code next} is done. The record's size
+ * follows what is under way, never the number of tasks.
+ *
+ * @param spec empty for a finished job without claims: only its final state is kept
+ * @param generation source of attempts; only grows
+ * @param attempt a gang's common attempt, while {@link Mode#REAL}
+ * @param order place in the team's queue of gangs: arrival in milliseconds, later after a requeue
+ */
+public record JobRecord(String id, Optional<Submission> spec, Instant arrived, End end, long generation, int next, List<Integer> again, List<Claim> claims,
+        Mode mode, long attempt, long order, int failures, Optional<Instant> notBefore) {
+
+    /** How a job ended, if it did. */
+    public enum End { OPEN, DONE, CANCELLED }
+
+    /** Where a gang stands: queued, placeholders being placed, real tasks, or being stopped as a whole. */
+    public enum Mode { IDLE, HOLD, REAL, STOP }
+
+    public static JobRecord accepted(Submission spec, Instant now) {
+        return new JobRecord(spec.id(), Optional.of(spec), now, End.OPEN, 1, 0, List.of(), List.of(), Mode.IDLE, 0, now.toEpochMilli(), 0, Optional.empty());
+    }
+
+    public boolean open() {
+        return end == End.OPEN;
+    }
+
+    public Submission job() {
+        return spec.orElseThrow();
+    }
+
+    /** Tasks done, for display. */
+    public int doneCount() {
+        if (spec.isEmpty()) {
+            return next;
+        }
+        return job().gang() || end != End.OPEN ? 0 : next - again.size() - claims.size();
+    }
+
+    /** Indexes without a claim and not done, in the order they should start. */
+    public IntArrayList unplaced(int most) {
+        var list = new IntArrayList();
+        if (!open()) {
+            return list;
+        }
+        if (job().gang()) {
+            if (mode == Mode.REAL || mode == Mode.STOP) {
+                return list;
+            }
+            var placed = new java.util.BitSet();
+            claims.forEach(c -> placed.set(c.task()));
+            for (int i = placed.nextClearBit(0); i < job().tasks() && list.size() < most; i = placed.nextClearBit(i + 1)) {
+                list.add(i);
+            }
+            return list;
+        }
+        for (int i : again) {
+            if (list.size() < most) {
+                list.add(i);
+            }
+        }
+        for (int i = next; i < job().tasks() && list.size() < most; i++) {
+            list.add(i);
+        }
+        return list;
+    }
+
+    public int unplacedCount() {
+        if (!open()) {
+            return 0;
+        }
+        if (job().gang()) {
+            return mode == Mode.REAL || mode == Mode.STOP ? 0 : job().tasks() - claims.size();
+        }
+        return again.size() + job().tasks() - next;
+    }
+
+    /** The attempt under which a claim's task should be on its machine. */
+    public long wantedAttempt(Claim c) {
+        return !job().gang() ? c.base() : mode == Mode.REAL || (mode == Mode.STOP && attempt > 0) ? attempt : c.base() + c.task();
+    }
+
+    public Optional<Claim> claim(int task) {
+        for (Claim c : claims) {
+            if (c.task() == task) {
+                return Optional.of(c);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Books tasks on machines, each under a fresh attempt. */
+    public JobRecord placed(Map<Integer, String> places) {
+        var all = new ArrayList<>(claims);
+        var waiting = new ArrayList<>(again);
+        int first = next;
+        for (var e : places.entrySet()) {
+            all.add(new Claim(e.getKey(), e.getValue(), generation, false));
+            if (!job().gang()) {
+                waiting.remove(e.getKey());
+                first = Math.max(first, e.getKey() + 1);
+            }
+        }
+        if (!job().gang()) {
+            // Indexes skipped below the new frontier still have to run; without this they would count as done.
+            for (int i = next; i < first; i++) {
+                if (!places.containsKey(i)) {
+                    waiting.add(i);
+                }
+            }
+        }
+        long used = job().gang() ? job().tasks() : 1;
+        Mode m = job().gang() && mode == Mode.IDLE ? Mode.HOLD : mode;
+        return new JobRecord(id, spec, arrived, end, generation + used, first, List.copyOf(waiting), List.copyOf(all), m, attempt, order, failures, Optional.empty());
+    }
+
+    /** Starts the real tasks of a gang whose placeholders all idle: one common new attempt. */
+    public JobRecord real() {
+        return new JobRecord(id, spec, arrived, end, generation + 1, next, again, claims, Mode.REAL, generation, order, failures, notBefore);
+    }
+
+    /** Books a placeholder again on its machine, after it gave up waiting. */
+    public JobRecord rebooked(int task) {
+        var all = new ArrayList<Claim>();
+        claims.forEach(c -> all.add(c.task() == task ? new Claim(task, c.host(), generation, c.stopping()) : c));
+        return with(end, generation + job().tasks(), next, again, all, mode, attempt);
+    }
+
+    /** Stops a whole gang: it comes back once every member is released. */
+    public JobRecord stopGang() {
+        return with(end, generation, next, again, claims, Mode.STOP, mode == Mode.REAL ? attempt : mode == Mode.STOP ? attempt : 0);
+    }
+
+    public JobRecord stopTask(int task) {
+        var all = new ArrayList<Claim>();
+        claims.forEach(c -> all.add(c.task() == task ? c.stopped() : c));
+        return with(end, generation, next, again, all, mode, attempt);
+    }
+
+    /** Gives up a claim whose task is proven gone; an array's task runs again unless it is done. */
+    public JobRecord released(int task, boolean done) {
+        var all = new ArrayList<Claim>();
+        claims.forEach(c -> {
+            if (c.task() != task) {
+                all.add(c);
+            }
+        });
+        if (spec.isEmpty() || job().gang()) {
+            Mode m = all.isEmpty() ? Mode.IDLE : mode;
+            return with(end, generation, next, again, all, m, m == Mode.IDLE ? 0 : attempt).compact();
+        }
+        var waiting = new ArrayList<>(again);
+        if (!done) {
+            waiting.add(task);
+        }
+        boolean over = end == End.OPEN && next == job().tasks() && waiting.isEmpty() && all.isEmpty();
+        return with(over ? End.DONE : end, generation, next, waiting, all, mode, attempt).compact();
+    }
+
+    /** A gang is done as one: its members complete together. */
+    public JobRecord gangDone() {
+        return with(End.DONE, generation, next, again, List.of(), Mode.IDLE, 0).compact();
+    }
+
+    /** Cancelled for good; claims stay until each task is proven gone. */
+    public JobRecord cancelled() {
+        return with(End.CANCELLED, generation, next, List.of(), claims, mode, attempt).compact();
+    }
+
+    public JobRecord failed(int more, Optional<Instant> until) {
+        return new JobRecord(id, spec, arrived, end, generation, next, again, claims, mode, attempt, order, failures + more, until);
+    }
+
+    public JobRecord requeued(long newOrder) {
+        return new JobRecord(id, spec, arrived, end, generation, next, again, claims, mode, attempt, newOrder, failures, notBefore);
+    }
+
+    private JobRecord with(End e, long g, int n, List<Integer> a, List<Claim> c, Mode m, long t) {
+        return new JobRecord(id, spec, arrived, e, g, n, List.copyOf(a), List.copyOf(c), m, t, order, failures, notBefore);
+    }
+
+    private JobRecord compact() {
+        if (end == End.OPEN || !claims.isEmpty()) {
+            return this;
+        }
+        int finished = spec.isEmpty() ? next : end == End.DONE ? job().tasks() : 0;
+        return new JobRecord(id, Optional.empty(), arrived, end, 0, finished, List.of(), List.of(), Mode.IDLE, 0, 0, 0, Optional.empty());
+    }
+
+    public ObjectNode toNode() {
+        ObjectNode n = Pack.map();
+        n.put("at", arrived.toEpochMilli()).put("end", end.name());
+        if (spec.isEmpty()) {
+            return n.put("next", next);
+        }
+        n.set("job", job().toNode());
+        n.put("gen", generation).put("next", next).put("mode", mode.name()).put("try", attempt).put("order", order).put("fails", failures);
+        notBefore.ifPresent(t -> n.put("wait", t.toEpochMilli()));
+        n.put("again", TaskSet.format(new IntArrayList(new IntRBTreeSet(again))));
+        record Group(String host, long base, boolean stopping) {}
+        var groups = new LinkedHashMap<Group, IntRBTreeSet>();
+        for (Claim c : claims) {
+            groups.computeIfAbsent(new Group(c.host(), c.base(), c.stopping()), g -> new IntRBTreeSet()).add(c.task());
+        }
+        ArrayNode list = n.putArray("claims");
+        groups.forEach((g, tasks) -> list.addArray().add(g.host).add(g.base).add(g.stopping).add(TaskSet.format(new IntArrayList(tasks))));
+        return n;
+    }
+
+    public static JobRecord parse(String id, JsonNode n) throws MalformedException {
+        Instant at = Instant.ofEpochMilli(n.path("at").longValue());
+        End end = End.valueOf(n.path("end").asText("OPEN"));
+        if (!n.has("job")) {
+            return new JobRecord(id, Optional.empty(), at, end, 0, n.path("next").intValue(), List.of(), List.of(), Mode.IDLE, 0, 0, 0, Optional.empty());
+        }
+        var claims = new ArrayList<Claim>();
+        for (JsonNode g : n.path("claims")) {
+            for (int task : TaskSet.parse(g.get(3).textValue())) {
+                claims.add(new Claim(task, g.get(0).textValue(), g.get(1).longValue(), g.get(2).booleanValue()));
+            }
+        }
+        Optional<Instant> wait = n.has("wait") ? Optional.of(Instant.ofEpochMilli(n.get("wait").longValue())) : Optional.empty();
+        return new JobRecord(id, Optional.of(Submission.parse(n.get("job"))), at, end, n.path("gen").longValue(), n.path("next").intValue(),
+                List.copyOf(TaskSet.parse(n.path("again").asText(""))), List.copyOf(claims), Mode.valueOf(n.path("mode").asText("IDLE")), n.path("try").longValue(),
+                n.path("order").longValue(), n.path("fails").intValue(), wait);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/bookkeeping/StateClient.java
@@ -0,0 +1,143 @@
+package org.dunespindle.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.HdrHistogram.Histogram;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.transport.CallFailure;
+import org.dunespindle.transport.HttpAnswer;
+import org.dunespindle.transport.HttpCaller;
+
+/** The state service, called within this controller's share of its rates. */
+public final class StateClient {
+    private static final Duration TIMEOUT = Duration.ofMillis(1800);
+    private final HttpCaller http;
+    private final String address;
+    private final Timeline timeline;
+    private final RateBudget requests;
+    private final RateBudget writes;
+    private final Histogram latency = new Histogram(60_000_000L, 2);
+    private int failuresInARow;
+    private Duration lastServed = Duration.ZERO;
+
+    public StateClient(HttpCaller http, Settings settings, Timeline timeline) {
+        this.http = http;
+        this.address = settings.stateAddress();
+        this.timeline = timeline;
+        int sharers = settings.seeds().size() + 1;
+        this.requests = new RateBudget(timeline, 0.9 * settings.state().rps() / sharers, 0.9 * settings.state().rps() / sharers);
+        this.writes = new RateBudget(timeline, 0.9 * settings.state().writeRps() / sharers, Math.max(0.9 * settings.state().writeRps() / sharers, settings.state().txnOps()));
+    }
+
+    /** Whether the last requests went unserved; tells when to refuse at once instead of trying. */
+    public boolean failing() {
+        return failuresInARow >= 2;
+    }
+
+    public Duration lastServed() {
+        return lastServed;
+    }
+
+    public Duration backlog() {
+        Duration a = requests.backlog();
+        Duration b = writes.backlog();
+        return a.compareTo(b) > 0 ? a : b;
+    }
+
+    public Histogram latency() {
+        return latency;
+    }
+
+    /** A page of keys; fails unless it was answered with 200. */
+    public CompletableFuture<JsonNode> list(String under, String since, int limit) {
+        return ok(call(false, "GET", "/keys?under=" + under + (since.isEmpty() ? "" : "&since=" + since) + "&limit=" + limit, new byte[0]));
+    }
+
+    /** All changes after a revision, without waiting for any; status 410 when it is too old. */
+    public CompletableFuture<HttpAnswer> changes(String under, long since) {
+        return call(false, "GET", "/watch?under=" + under + "&since=" + since + "&holdMs=0", new byte[0]);
+    }
+
+    /** A new lease, as the service's number for it. */
+    public CompletableFuture<OptionalLong> openLease(Duration ttl) {
+        return ok(call(true, "POST", "/holds", Pack.write(Pack.map().put("ttlMs", ttl.toMillis()))))
+                .thenApply(n -> n.path("tether").isIntegralNumber() ? OptionalLong.of(n.get("tether").longValue()) : OptionalLong.empty());
+    }
+
+    /** Renews; false when the lease has ended. */
+    public CompletableFuture<Boolean> renewLease(long lease) {
+        return call(true, "POST", "/holds/" + lease + "/renew", Pack.write(Pack.map())).thenCompose(a -> switch (a.status()) {
+            case 200 -> CompletableFuture.completedFuture(true);
+            case 404 -> CompletableFuture.completedFuture(false);
+            default -> CompletableFuture.failedFuture(new CallFailure("status " + a.status(), true));
+        });
+    }
+
+    /** Commits a transaction; never fails, see the result. */
+    public CompletableFuture<TxnResult> commit(Txn txn) {
+        var result = new CompletableFuture<TxnResult>();
+        writes.submit(false, txn.changeCount(), () -> call(false, "POST", "/txn", Pack.write(txn.toNode())).whenComplete((a, e) -> result.complete(judge(a, e))));
+        return result;
+    }
+
+    private static TxnResult judge(HttpAnswer answer, Throwable failure) {
+        if (failure != null) {
+            return sent(failure) ? new TxnResult.Unknown() : new TxnResult.Refused(0, "no connection");
+        }
+        return switch (answer.status()) {
+            case 200 -> {
+                try {
+                    yield new TxnResult.Applied(Pack.read(answer.body()).path("epoch").longValue());
+                } catch (MalformedException e) {
+                    yield new TxnResult.Unknown();
+                }
+            }
+            case 409 -> new TxnResult.Conflict();
+            case 400, 413, 429, 503 -> new TxnResult.Refused(answer.status(), new String(answer.body(), java.nio.charset.StandardCharsets.ISO_8859_1));
+            default -> new TxnResult.Unknown();
+        };
+    }
+
+    private static boolean sent(Throwable failure) {
+        Throwable cause = failure instanceof java.util.concurrent.CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        return !(cause instanceof CallFailure f) || f.sent();
+    }
+
+    private static CompletableFuture<JsonNode> ok(CompletableFuture<HttpAnswer> answer) {
+        return answer.thenCompose(a -> {
+            if (a.status() != 200) {
+                return CompletableFuture.failedFuture(new CallFailure("status " + a.status(), true));
+            }
+            try {
+                return CompletableFuture.completedFuture(Pack.read(a.body()));
+            } catch (MalformedException e) {
+                return CompletableFuture.failedFuture(new CallFailure("unreadable answer", true));
+            }
+        });
+    }
+
+    private CompletableFuture<HttpAnswer> call(boolean first, String method, String target, byte[] body) {
+        var result = new CompletableFuture<HttpAnswer>();
+        requests.submit(first, 1, () -> {
+            Duration begun = timeline.now();
+            http.send(address, method, target, body, Pack.TYPE, TIMEOUT).whenComplete((a, e) -> {
+                boolean served = a != null && a.status() != 503 && a.status() != 429;
+                failuresInARow = served ? 0 : failuresInARow + 1;
+                if (served) {
+                    lastServed = timeline.now();
+                    latency.recordValue(Math.min(60_000_000L, timeline.now().minus(begun).toNanos() / 1000));
+                }
+                if (e != null) {
+                    result.completeExceptionally(e);
+                } else {
+                    result.complete(a);
+                }
+            });
+        });
+        return result;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/bookkeeping/TaskSet.java
@@ -0,0 +1,42 @@
+package org.dunespindle.bookkeeping;
+
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import it.unimi.dsi.fastutil.ints.IntList;
+
+/** Sets of task indexes as text ranges, {@code 0-15,17}, so that a record stays small. */
+public final class TaskSet {
+    private TaskSet() {}
+
+    /** Writes indexes given in rising order. */
+    public static String format(IntList sorted) {
+        var text = new StringBuilder();
+        for (int i = 0; i < sorted.size();) {
+            int first = sorted.getInt(i);
+            int last = first;
+            while (++i < sorted.size() && sorted.getInt(i) == last + 1) {
+                last++;
+            }
+            text.append(text.isEmpty() ? "" : ",").append(first);
+            if (last > first) {
+                text.append('-').append(last);
+            }
+        }
+        return text.toString();
+    }
+
+    public static IntArrayList parse(String text) {
+        var list = new IntArrayList();
+        if (text.isEmpty()) {
+            return list;
+        }
+        for (String part : text.split(",")) {
+            int dash = part.indexOf('-');
+            int first = Integer.parseInt(dash < 0 ? part : part.substring(0, dash));
+            int last = dash < 0 ? first : Integer.parseInt(part.substring(dash + 1));
+            for (int i = first; i <= last; i++) {
+                list.add(i);
+            }
+        }
+        return list;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/bookkeeping/Timeline.java
@@ -0,0 +1,18 @@
+package org.dunespindle.bookkeeping;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * The clocks and timers that the service runs on, passed in so that tests decide what time it is.
+ * {@link #now} never goes back; {@link #wallTime} is only shown and stored, never compared for safety.
+ */
+public interface Timeline {
+    /** Steady time since some fixed moment of this process. */
+    Duration now();
+
+    Instant wallTime();
+
+    /** Runs work on the service's one thread after a delay. */
+    void after(Duration delay, Runnable work);
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/CloudClient.java
@@ -0,0 +1,126 @@
+package org.dunespindle.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.HdrHistogram.Histogram;
+import org.dunespindle.bookkeeping.RateBudget;
+import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.protocol.ListedMachine;
+import org.dunespindle.protocol.MachineType;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.transport.CallFailure;
+import org.dunespindle.transport.HttpAnswer;
+import org.dunespindle.transport.HttpCaller;
+
+/** The cloud, called within its rate. */
+public final class CloudClient {
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final int PAGE = 500;
+    private final HttpCaller http;
+    private final String address;
+    private final Timeline timeline;
+    private final RateBudget budget;
+    private final Histogram latency = new Histogram(60_000_000L, 2);
+
+    /** A rental's outcome: machines, or a refusal for want of capacity. */
+    public record Rented(List<String> hosts, boolean noCapacity) {}
+
+    public CloudClient(HttpCaller http, Settings settings, Timeline timeline) {
+        this.http = http;
+        this.address = settings.cloudAddress();
+        this.timeline = timeline;
+        // Only the leader makes more than a rare call, so it gets most of the rate; the rest is for the others' catalogs.
+        this.budget = new RateBudget(timeline, 0.7 * settings.cloud().rps(), Math.max(1, 0.7 * settings.cloud().rps()));
+    }
+
+    public Histogram latency() {
+        return latency;
+    }
+
+    public CompletableFuture<List<MachineType>> catalog() {
+        return call("GET", "/catalog", new byte[0]).thenCompose(a -> parsed(a, MachineType::parseCatalog));
+    }
+
+    /** The whole machine list, page by page. */
+    public CompletableFuture<List<ListedMachine>> list() {
+        return page("", new ArrayList<>());
+    }
+
+    private CompletableFuture<List<ListedMachine>> page(String since, List<ListedMachine> got) {
+        return call("GET", "/rentals?since=" + since + "&limit=" + PAGE, new byte[0]).thenCompose(a -> parsed(a, n -> n)).thenCompose(body -> {
+            String last = since;
+            for (JsonNode row : body.path("hosts")) {
+                try {
+                    ListedMachine m = ListedMachine.parse(row);
+                    got.add(m);
+                    last = m.id();
+                } catch (MalformedException e) {
+                    return CompletableFuture.failedFuture(new CallFailure("unreadable list", true));
+                }
+            }
+            return body.path("more").asBoolean(false) && !last.equals(since) ? page(last, got) : CompletableFuture.completedFuture(got);
+        });
+    }
+
+    /** Rents machines; repeating it with the same charter is safe until it was answered with 200. */
+    public CompletableFuture<Rented> rent(String charter, Planner.Market market, int count) {
+        ObjectNode body = Pack.map().put("charter", charter).put("hull", market.type()).put("dune", market.zone()).put("driftwood", market.spot()).put("count", count);
+        return call("POST", "/rentals", Pack.write(body)).thenCompose(a -> {
+            if (a.status() == 200) {
+                return parsed(a, n -> {
+                    var hosts = new ArrayList<String>();
+                    n.path("hosts").forEach(h -> hosts.add(h.asText()));
+                    return new Rented(hosts, false);
+                });
+            }
+            boolean none = a.status() == 503 && new String(a.body(), java.nio.charset.StandardCharsets.ISO_8859_1).contains("no capacity");
+            return none ? CompletableFuture.completedFuture(new Rented(List.of(), true)) : CompletableFuture.failedFuture(new CallFailure("status " + a.status(), true));
+        });
+    }
+
+    /** Returns machines; once this completes, they and everything on them are gone. */
+    public CompletableFuture<Void> giveBack(List<String> hosts) {
+        ObjectNode body = Pack.map();
+        hosts.forEach(body.withArray("/hosts")::add);
+        return call("POST", "/rentals/return", Pack.write(body)).thenCompose(a -> a.status() == 200 ? CompletableFuture.completedFuture(null)
+                : CompletableFuture.failedFuture(new CallFailure("status " + a.status(), true)));
+    }
+
+    @FunctionalInterface
+    private interface Parser<T> {
+        T parse(JsonNode node) throws MalformedException;
+    }
+
+    private static <T> CompletableFuture<T> parsed(HttpAnswer a, Parser<T> parser) {
+        if (a.status() != 200) {
+            return CompletableFuture.failedFuture(new CallFailure("status " + a.status(), true));
+        }
+        try {
+            return CompletableFuture.completedFuture(parser.parse(Pack.read(a.body())));
+        } catch (MalformedException e) {
+            return CompletableFuture.failedFuture(new CallFailure("unreadable answer", true));
+        }
+    }
+
+    private CompletableFuture<HttpAnswer> call(String method, String target, byte[] body) {
+        var result = new CompletableFuture<HttpAnswer>();
+        budget.submit(false, 1, () -> {
+            Duration begun = timeline.now();
+            http.send(address, method, target, body, Pack.TYPE, TIMEOUT).whenComplete((a, e) -> {
+                latency.recordValue(Math.min(60_000_000L, timeline.now().minus(begun).toNanos() / 1000));
+                if (e != null) {
+                    result.completeExceptionally(e);
+                } else {
+                    result.complete(a);
+                }
+            });
+        });
+        return result;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/FrontDesk.java
@@ -0,0 +1,212 @@
+package org.dunespindle.coordination;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.dunespindle.bookkeeping.JobRecord;
+import org.dunespindle.bookkeeping.Keys;
+import org.dunespindle.bookkeeping.Replica;
+import org.dunespindle.bookkeeping.StateClient;
+import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.bookkeeping.Txn;
+import org.dunespindle.bookkeeping.TxnResult;
+import org.dunespindle.protocol.MachineType;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.protocol.Submission;
+
+/** The users' side: submissions, polls and cancellations. Every answer rests on what is stored. */
+public final class FrontDesk {
+    private static final Duration SOON = Duration.ofSeconds(1);
+    private static final Duration LATER = Duration.ofSeconds(3);
+    private static final Duration LOCK_WAIT = Duration.ofMillis(40);
+    private static final Duration PATIENCE = Duration.ofMillis(1800);
+    private final Settings settings;
+    private final Replica replica;
+    private final StateClient state;
+    private final Committer committer;
+    private final Timeline timeline;
+    private final Supplier<Optional<List<MachineType>>> catalog;
+
+    /** An answer before it is put on the wire. */
+    public record Answer(int status, ObjectNode body, Optional<Duration> retryAfter) {
+        static Answer of(int status, ObjectNode body) {
+            return new Answer(status, body, Optional.empty());
+        }
+
+        static Answer error(int status, String text) {
+            return of(status, Pack.map().put("error", text));
+        }
+
+        static Answer later(String text, Duration when) {
+            return new Answer(503, Pack.map().put("error", text), Optional.of(when));
+        }
+    }
+
+    public FrontDesk(Settings settings, Replica replica, StateClient state, Committer committer, Timeline timeline, Supplier<Optional<List<MachineType>>> catalog) {
+        this.settings = settings;
+        this.replica = replica;
+        this.state = state;
+        this.committer = committer;
+        this.timeline = timeline;
+        this.catalog = catalog;
+    }
+
+    public void submit(byte[] body, Consumer<Answer> answer) {
+        Submission job;
+        try {
+            job = Submission.parse(Pack.read(body));
+        } catch (MalformedException e) {
+            answer.accept(Answer.error(400, e.getMessage()));
+            return;
+        }
+        if (!replica.loaded()) {
+            answer.accept(Answer.later("this controller is still reading the stored state", SOON));
+            return;
+        }
+        // A job that was accepted once is never refused later, whatever the settings say by then.
+        if (replica.job(job.id()).isPresent()) {
+            current(job.id(), answer);
+            return;
+        }
+        Optional<List<MachineType>> types = catalog.get();
+        if (types.isEmpty()) {
+            answer.accept(Answer.later("the machine types are not known yet", SOON));
+            return;
+        }
+        Optional<String> never = whyNever(job, types.get());
+        if (never.isPresent()) {
+            replica.refresh(() -> replica.job(job.id()).ifPresentOrElse(j -> answer.accept(show(j)), () -> answer.accept(Answer.error(422, never.get()))),
+                    () -> answer.accept(out()));
+            return;
+        }
+        if (state.failing()) {
+            answer.accept(out());
+            return;
+        }
+        String key = Keys.job(job.id());
+        JobRecord record = JobRecord.accepted(job, timeline.wallTime());
+        if (Pack.countedSize(record.toNode()) > settings.state().valueBytes() / 2) {
+            answer.accept(Answer.error(400, "the job's description is too long"));
+            return;
+        }
+        if (committer.isLocked(key)) {
+            answer.accept(Answer.later("the same submission is being stored", SOON));
+            return;
+        }
+        committer.propose(new Txn().guard(key, 0).write(key, record.toNode()), r -> {
+            Optional<JobRecord> now = replica.job(job.id());
+            if (r instanceof TxnResult.Applied) {
+                answer.accept(Answer.of(201, Pack.map().put("id", job.id()).put("phase", "queued")));
+            } else if (now.isPresent() && !(r instanceof TxnResult.Refused)) {
+                current(job.id(), answer);
+            } else {
+                answer.accept(out());
+            }
+        });
+    }
+
+    /** Why a job can never run, if so. */
+    Optional<String> whyNever(Submission job, List<MachineType> types) {
+        Settings.Team team = settings.teams().get(job.team());
+        if (team == null) {
+            return Optional.of("team " + job.team() + " is unknown");
+        }
+        boolean fits = types.stream().anyMatch(t -> job.types().map(a -> a.contains(t.name())).orElse(true) && job.zone().map(t.zones()::contains).orElse(true)
+                && job.perTask().fitsIn(t.size()));
+        if (!fits) {
+            return Optional.of("a task fits no allowed machine type");
+        }
+        if (!team.withinLimit(job.gang() ? job.wholeAsk() : job.perTask())) {
+            return Optional.of("the job needs more than the limit of team " + job.team());
+        }
+        if (job.gang() && job.sameZone() && job.spread() && job.tasks() > 1) {
+            return Optional.of("samePlace and apart exclude each other");
+        }
+        return Optional.empty();
+    }
+
+    public void poll(String id, Consumer<Answer> answer) {
+        if (!replica.loaded()) {
+            answer.accept(Answer.later("this controller is still reading the stored state", SOON));
+            return;
+        }
+        if (!Submission.wellFormedId(id)) {
+            answer.accept(Answer.error(404, "no such job"));
+            return;
+        }
+        current(id, answer);
+    }
+
+    /** Answers with the stored state. A final state can be told from the copy: it never changes again. */
+    private void current(String id, Consumer<Answer> answer) {
+        Optional<JobRecord> known = replica.job(id);
+        if (known.isPresent() && !known.get().open()) {
+            answer.accept(show(known.get()));
+        } else if (state.failing()) {
+            answer.accept(out());
+        } else {
+            replica.refresh(() -> answer.accept(replica.job(id).map(FrontDesk::show).orElseGet(() -> Answer.error(404, "no such job"))), () -> answer.accept(out()));
+        }
+    }
+
+    public void cancel(String id, Consumer<Answer> answer) {
+        cancel(id, timeline.now().plus(PATIENCE), answer);
+    }
+
+    private void cancel(String id, Duration until, Consumer<Answer> answer) {
+        if (!replica.loaded() || state.failing()) {
+            answer.accept(out());
+            return;
+        }
+        replica.refresh(() -> {
+            Optional<JobRecord> known = replica.job(id);
+            String key = Keys.job(id);
+            if (known.isEmpty()) {
+                answer.accept(Answer.error(404, "no such job"));
+            } else if (!known.get().open()) {
+                answer.accept(show(known.get()));
+            } else if (committer.isLocked(key)) {
+                again(id, until, answer);
+            } else {
+                committer.propose(new Txn().guard(key, replica.stamp(key)).write(key, known.get().cancelled().toNode()), r -> {
+                    if (r instanceof TxnResult.Applied) {
+                        answer.accept(Answer.of(200, Pack.map().put("id", id).put("phase", "cancelled")));
+                    } else {
+                        again(id, until, answer);
+                    }
+                });
+            }
+        }, () -> answer.accept(out()));
+    }
+
+    private void again(String id, Duration until, Consumer<Answer> answer) {
+        if (timeline.now().compareTo(until) > 0) {
+            answer.accept(out());
+        } else {
+            timeline.after(LOCK_WAIT, () -> cancel(id, until, answer));
+        }
+    }
+
+    private static Answer out() {
+        return Answer.later("the state service does not answer; the request was not carried out as far as is known", LATER);
+    }
+
+    static Answer show(JobRecord j) {
+        String phase = switch (j.end()) {
+            case DONE -> "done";
+            case CANCELLED -> "cancelled";
+            case OPEN -> running(j) > 0 ? "running" : "queued";
+        };
+        return Answer.of(200, Pack.map().put("id", j.id()).put("phase", phase).put("done", j.doneCount()).put("running", running(j)));
+    }
+
+    private static int running(JobRecord j) {
+        boolean placing = j.spec().isPresent() && j.job().gang() && j.mode() != JobRecord.Mode.REAL;
+        return j.open() && !placing ? j.claims().size() : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/JobChanges.java
@@ -0,0 +1,57 @@
+package org.dunespindle.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.dunespindle.bookkeeping.JobRecord;
+
+/** Applies what became of claims to a job's record. Pure. */
+public final class JobChanges {
+    private static final Duration FIRST_PAUSE = Duration.ofSeconds(1);
+    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(30);
+    private static final int FREE_FAILURES = 3;
+
+    private JobChanges() {}
+
+    public static JobRecord apply(JobRecord job, List<Reconciler.Event> events, Instant now) {
+        JobRecord j = job;
+        for (Reconciler.Event e : events) {
+            if (j.claim(e.task()).isPresent()) {
+                j = one(j, e, now);
+            }
+        }
+        return j;
+    }
+
+    private static JobRecord one(JobRecord j, Reconciler.Event e, Instant now) {
+        boolean gang = j.spec().isPresent() && j.job().gang();
+        if (gang && e.fate() == Reconciler.Fate.DONE && j.open()) {
+            return j.gangDone();
+        }
+        if (e.fate() == Reconciler.Fate.WAITED_IN_VAIN) {
+            return j.rebooked(e.task());
+        }
+        JobRecord after = j;
+        if (gang && j.open() && j.mode() == JobRecord.Mode.REAL) {
+            // One member gone breaks the attempt: the others exit with peers or wait in vain, so all are stopped.
+            after = after.stopGang();
+        }
+        after = after.released(e.task(), e.fate() == Reconciler.Fate.DONE);
+        if (e.fate() == Reconciler.Fate.ERROR && after.open()) {
+            after = after.failed(1, pause(after.failures() + 1, now));
+        } else if (e.fate() == Reconciler.Fate.REFUSED && after.open()) {
+            after = after.failed(0, Optional.of(now.plus(FIRST_PAUSE)));
+        }
+        return after;
+    }
+
+    /** A job that fails everywhere backs off, so that it does not wear out machine after machine. */
+    private static Optional<Instant> pause(int failures, Instant now) {
+        if (failures <= FREE_FAILURES) {
+            return Optional.empty();
+        }
+        Duration d = FIRST_PAUSE.multipliedBy(1L << Math.min(10, failures - FREE_FAILURES));
+        return Optional.of(now.plus(d.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : d));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/Membership.java
@@ -0,0 +1,193 @@
+package org.dunespindle.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.dunespindle.bookkeeping.HostRecord;
+import org.dunespindle.bookkeeping.Keys;
+import org.dunespindle.bookkeeping.Replica;
+import org.dunespindle.bookkeeping.StateClient;
+import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.bookkeeping.Txn;
+import org.dunespindle.bookkeeping.TxnResult;
+import org.dunespindle.protocol.Pack;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * This controller's place among the others: an incarnation that no earlier process of its name had, a
+ * member key on a lease, and the leader key when nobody else holds it.
+ */
+public final class Membership {
+    private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
+    private static final Duration TTL = Duration.ofMillis(4500);
+    private static final Duration RENEW_EVERY = Duration.ofMillis(1300);
+    private static final Duration RETRY = Duration.ofMillis(400);
+    private final String node;
+    private final StateClient state;
+    private final Replica replica;
+    private final Timeline timeline;
+    private long incarnation;
+    private OptionalLong lease = OptionalLong.empty();
+    private boolean joining;
+    private boolean electing;
+
+    public Membership(String node, StateClient state, Replica replica, Timeline timeline) {
+        this.node = node;
+        this.state = state;
+        this.replica = replica;
+        this.timeline = timeline;
+    }
+
+    public long incarnation() {
+        return incarnation;
+    }
+
+    /** Whether this process has an incarnation and a member key. */
+    public boolean joined() {
+        return incarnation > 0 && lease.isPresent() && isAlive(node, incarnation);
+    }
+
+    public boolean isAlive(String name, long inc) {
+        JsonNode m = replica.members().get(name);
+        return m != null && m.path("inc").longValue() == inc;
+    }
+
+    public Optional<Long> incarnationOf(String name) {
+        return Optional.ofNullable(replica.members().get(name)).map(m -> m.path("inc").longValue());
+    }
+
+    public boolean owns(HostRecord host) {
+        return host.owner().equals(node) && host.incarnation() == incarnation;
+    }
+
+    public Optional<String> leader() {
+        return replica.value(Keys.LEADER).map(v -> v.path("node").asText());
+    }
+
+    public boolean leads() {
+        return joined() && replica.value(Keys.LEADER).filter(v -> v.path("node").asText().equals(node) && v.path("inc").longValue() == incarnation).isPresent();
+    }
+
+    /** The live controller that a machine hashes to (highest random weight, so that few move when one leaves). */
+    public Optional<String> hashed(String host) {
+        String best = null;
+        int bestWeight = 0;
+        for (String name : replica.members().keySet()) {
+            int weight = mix((name + '|' + host).hashCode());
+            if (best == null || weight > bestWeight) {
+                best = name;
+                bestWeight = weight;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static int mix(int h) {
+        int x = h * 0x9E3779B9;
+        x ^= x >>> 15;
+        x *= 0x85EBCA6B;
+        return x ^ (x >>> 13);
+    }
+
+    public List<String> liveNames() {
+        return new ArrayList<>(replica.members().keySet());
+    }
+
+    /** Called regularly: joins, and takes the leader key when it is free. */
+    public void tick() {
+        if (!replica.loaded()) {
+            return;
+        }
+        if (!joining && (incarnation == 0 || lease.isEmpty())) {
+            join();
+        } else if (joined()) {
+            elect();
+        }
+    }
+
+    private void join() {
+        joining = true;
+        if (incarnation == 0) {
+            String key = Keys.INCARNATION + node;
+            long next = replica.value(key).map(v -> v.path("n").longValue()).orElse(0L) + 1;
+            var txn = new Txn().guard(key, replica.stamp(key)).write(key, Pack.map().put("n", next));
+            state.commit(txn).thenAccept(r -> {
+                if (r instanceof TxnResult.Applied a) {
+                    replica.adopt(txn, a.revision());
+                    incarnation = next;
+                    openLease();
+                } else {
+                    // An unknown outcome may have used this number up; read before choosing another.
+                    replica.refresh(this::retryJoin, this::retryJoin);
+                }
+            });
+        } else {
+            openLease();
+        }
+    }
+
+    private void retryJoin() {
+        timeline.after(RETRY, () -> joining = false);
+    }
+
+    private void openLease() {
+        state.openLease(TTL).whenComplete((opened, failure) -> {
+            if (failure != null || opened.isEmpty()) {
+                retryJoin();
+                return;
+            }
+            long id = opened.getAsLong();
+            var txn = new Txn().writeTethered(Keys.member(node), Pack.map().put("inc", incarnation), id).guard(Keys.member(node), replica.stamp(Keys.member(node)));
+            state.commit(txn).thenAccept(r -> {
+                if (r instanceof TxnResult.Applied a) {
+                    replica.adopt(txn, a.revision());
+                    lease = OptionalLong.of(id);
+                    joining = false;
+                    LOG.info("{} joined as incarnation {}", node, incarnation);
+                    scheduleRenewal(id);
+                } else {
+                    replica.refresh(this::retryJoin, this::retryJoin);
+                }
+            });
+        });
+    }
+
+    private void scheduleRenewal(long id) {
+        timeline.after(RENEW_EVERY, () -> renew(id));
+    }
+
+    private void renew(long id) {
+        state.renewLease(id).whenComplete((alive, failure) -> {
+            if (failure != null) {
+                timeline.after(RETRY, () -> renew(id));
+            } else if (alive) {
+                scheduleRenewal(id);
+            } else {
+                LOG.info("{} lost its membership lease; joining again", node);
+                lease = OptionalLong.empty();
+            }
+        });
+    }
+
+    private void elect() {
+        Optional<JsonNode> now = replica.value(Keys.LEADER);
+        boolean held = now.filter(v -> isAlive(v.path("node").asText(), v.path("inc").longValue())).isPresent();
+        if (held || electing) {
+            return;
+        }
+        electing = true;
+        var txn = new Txn().guard(Keys.LEADER, replica.stamp(Keys.LEADER))
+                .writeTethered(Keys.LEADER, Pack.map().put("node", node).put("inc", incarnation), lease.orElseThrow());
+        state.commit(txn).thenAccept(r -> {
+            if (r instanceof TxnResult.Applied a) {
+                replica.adopt(txn, a.revision());
+                LOG.info("{} leads now", node);
+            }
+            replica.refresh(() -> electing = false, () -> electing = false);
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -0,0 +1,395 @@
+package org.dunespindle.coordination;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.dunespindle.bookkeeping.Claim;
+import org.dunespindle.bookkeeping.JobRecord;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.protocol.Submission;
+
+/**
+ * Decides, from a snapshot, which task goes where, which tasks give way and which machines are missing.
+ * Pure: every controller works out the whole picture and carries out its own part, so that two owners seldom
+ * reach for the same task.
+ */
+public final class Planner {
+    private Planner() {}
+
+    /** A machine as the plan sees it. */
+    public record Host(String id, String type, String zone, boolean spot, Resources size, boolean up, boolean mine, Set<String> images) {}
+
+    /** Everything a plan depends on. */
+    public record Snapshot(Instant now, List<JobRecord> jobs, List<Host> hosts, Map<String, Settings.Team> teams, Map<String, Place> whereabouts,
+            Set<Market> refused, int mostTasksPerJob, Set<String> impatient) {}
+
+    /** Type, zone and kind, as the cloud rents them. */
+    public record Market(String type, String zone, boolean spot) {}
+
+    /** Type, zone and kind of a machine that holds claims, whether or not it can take more. */
+    public record Place(String type, String zone, boolean spot) {}
+
+    /** Tasks of one job booked at once. */
+    public record Booking(JobRecord job, Map<Integer, String> places) {}
+
+    /** A task that should give way to a job. */
+    public record Eviction(JobRecord victim, Claim claim, String forJob) {}
+
+    /** Room that no machine offers, not even a booting one. */
+    public record Shortfall(JobRecord job, int tasks, Optional<String> zone) {}
+
+    /** The outcome; {@code reasons} tells why a job waits. */
+    public record Plan(List<Booking> bookings, List<Eviction> evictions, List<Shortfall> shortfalls, Map<String, String> reasons, Set<String> wantedHosts) {}
+
+    /** Works out a plan. */
+    public static Plan plan(Snapshot s) {
+        return new Work(s).run();
+    }
+
+    /** What each team's claims take, cancelled jobs' included: their tasks still count until they are gone. */
+    public static Map<String, Resources> use(Iterable<JobRecord> jobs) {
+        var use = new HashMap<String, Resources>();
+        for (JobRecord j : jobs) {
+            j.spec().ifPresent(spec -> use.merge(spec.team(), spec.perTask().times(j.claims().size()), Resources::plus));
+        }
+        return use;
+    }
+
+    /** Jobs that fit within their team's guarantee together with the team's earlier unfinished jobs. */
+    public static Set<String> guaranteed(List<JobRecord> jobs, Map<String, Settings.Team> teams) {
+        var sums = new HashMap<String, Resources>();
+        var within = new HashSet<String>();
+        jobs.stream().filter(JobRecord::open).sorted(Comparator.comparing(JobRecord::arrived).thenComparing(JobRecord::id)).forEach(j -> {
+            Resources sum = sums.merge(j.job().team(), j.job().wholeAsk(), Resources::plus);
+            Settings.Team team = teams.get(j.job().team());
+            if (team != null && team.withinGuarantee(sum)) {
+                within.add(j.id());
+            }
+        });
+        return within;
+    }
+
+    private static final class Work {
+        private final Snapshot s;
+        private final Map<String, Host> hosts = new TreeMap<>();
+        private final Map<String, Resources> room = new HashMap<>();
+        private final Map<String, Resources> use;
+        private final Map<String, List<Victim>> victims = new HashMap<>();
+        private final List<Booking> bookings = new ArrayList<>();
+        private final List<Eviction> evictions = new ArrayList<>();
+        private final List<Shortfall> shortfalls = new ArrayList<>();
+        private final Map<String, String> reasons = new LinkedHashMap<>();
+        private final Set<String> wanted = new HashSet<>();
+        private final Set<String> guaranteed;
+        /** What unplaced tasks would add to their team's use; bounds renting, but keeps no other job from being placed. */
+        private final Map<String, Resources> pending = new HashMap<>();
+        /** Room of tasks that are being stopped, by machine. */
+        private final Map<String, Resources> ending = new HashMap<>();
+        /** Machines promised to a gang before their room is free: nothing can be booked there yet. */
+        private final Set<String> later = new HashSet<>();
+
+        private record Victim(JobRecord job, Claim claim) {}
+
+        Work(Snapshot s) {
+            this.s = s;
+            this.use = use(s.jobs());
+            this.guaranteed = guaranteed(s.jobs(), s.teams());
+            for (Host h : s.hosts()) {
+                hosts.put(h.id(), h);
+                room.put(h.id(), h.size());
+            }
+            for (JobRecord j : s.jobs()) {
+                for (Claim c : j.claims()) {
+                    room.computeIfPresent(c.host(), (h, r) -> r.minus(j.job().perTask()));
+                    if (c.stopping() || !j.open() || j.mode() == JobRecord.Mode.STOP) {
+                        ending.merge(c.host(), j.job().perTask(), Resources::plus);
+                    } else if (!j.job().gang()) {
+                        victims.computeIfAbsent(c.host(), h -> new ArrayList<>()).add(new Victim(j, c));
+                    }
+                }
+            }
+        }
+
+        Plan run() {
+            var heads = new HashMap<String, JobRecord>();
+            for (JobRecord j : s.jobs()) {
+                if (j.open() && j.job().gang() && (j.mode() == JobRecord.Mode.IDLE || j.mode() == JobRecord.Mode.HOLD)) {
+                    heads.merge(j.job().team(), j, (a, b) -> earlier(a, b) ? a : b);
+                }
+            }
+            var ordered = new ArrayList<>(s.jobs());
+            ordered.removeIf(j -> !j.open() || j.unplacedCount() == 0);
+            ordered.sort(Comparator.comparing((JobRecord j) -> !guaranteed.contains(j.id())).thenComparing(j -> j.job().priority(), Comparator.reverseOrder())
+                    .thenComparing(this::urgency).thenComparing(JobRecord::id));
+            for (JobRecord j : ordered) {
+                if (j.notBefore().isPresent() && j.notBefore().get().isAfter(s.now())) {
+                    reasons.put(j.id(), "its tasks fail or were refused; tried again at " + j.notBefore().get());
+                } else if (j.job().gang()) {
+                    JobRecord head = heads.get(j.job().team());
+                    if (head == j) {
+                        gang(j);
+                    } else {
+                        reasons.put(j.id(), "behind gang " + head.id() + " of its team");
+                    }
+                } else {
+                    array(j);
+                }
+            }
+            return new Plan(bookings, evictions, shortfalls, reasons, wanted);
+        }
+
+        /** A gang whose placeholders are being placed stays the head; otherwise arrival order decides. */
+        private static boolean earlier(JobRecord a, JobRecord b) {
+            boolean holdA = a.mode() == JobRecord.Mode.HOLD;
+            boolean holdB = b.mode() == JobRecord.Mode.HOLD;
+            if (holdA != holdB) {
+                return holdA;
+            }
+            return a.order() != b.order() ? a.order() < b.order() : a.id().compareTo(b.id()) < 0;
+        }
+
+        private Instant urgency(JobRecord j) {
+            return j.job().due().map(d -> j.arrived().plus(d).minus(j.job().estimate())).orElse(j.arrived());
+        }
+
+        private boolean teamAllows(Submission job, int tasks) {
+            Settings.Team team = s.teams().get(job.team());
+            return team != null && team.withinLimit(use.getOrDefault(job.team(), Resources.NONE).plus(job.perTask().times(tasks)));
+        }
+
+        private boolean allowed(Submission job, Host h) {
+            return job.types().map(t -> t.contains(h.type())).orElse(true) && job.zone().map(h.zone()::equals).orElse(true) && (job.spot() || !h.spot());
+        }
+
+        private boolean rentable(Submission job, int tasks) {
+            Settings.Team team = s.teams().get(job.team());
+            Resources sum = use.getOrDefault(job.team(), Resources.NONE).plus(pending.getOrDefault(job.team(), Resources.NONE)).plus(job.perTask().times(tasks));
+            return team != null && team.withinLimit(sum);
+        }
+
+        private boolean bookable(Host h) {
+            return h.up() && !later.contains(h.id());
+        }
+
+        private void take(Submission job, String host) {
+            room.merge(host, job.perTask(), Resources::minus);
+            use.merge(job.team(), job.perTask(), Resources::plus);
+            wanted.add(host);
+        }
+
+        private void array(JobRecord j) {
+            Submission job = j.job();
+            int budget = Math.max(0, s.mostTasksPerJob() - j.claims().size() - j.again().size());
+            var places = new LinkedHashMap<Integer, String>();
+            int waiting = 0;
+            int index = 0;
+            var candidates = candidates(job, h -> true);
+            boolean ownOnly = s.impatient().contains(j.id());
+            int fresh = 0;
+            for (int task : j.unplaced(s.mostTasksPerJob())) {
+                index++;
+                if (!teamAllows(job, 1)) {
+                    reasons.put(j.id(), "its team's limit is used up");
+                    break;
+                }
+                if (task >= j.next() && fresh++ >= budget) {
+                    break;
+                }
+                Optional<Host> best = best(job, candidates, ownOnly);
+                if (best.isEmpty()) {
+                    if (!rentable(job, 1)) {
+                        break;
+                    }
+                    waiting++;
+                    pending.merge(job.team(), job.perTask(), Resources::plus);
+                    continue;
+                }
+                take(job, best.get().id());
+                if (bookable(best.get())) {
+                    places.put(task, best.get().id());
+                } else {
+                    reasons.putIfAbsent(j.id(), "waits for machines that are booting");
+                }
+            }
+            if (!places.isEmpty()) {
+                bookings.add(new Booking(j, places));
+            }
+            if (waiting > 0) {
+                reasons.putIfAbsent(j.id(), "no room on machines it may use");
+                shortfalls.add(new Shortfall(j, waiting, job.zone()));
+            }
+        }
+
+        private List<Host> candidates(Submission job, java.util.function.Predicate<Host> also) {
+            var list = new ArrayList<Host>();
+            for (Host h : hosts.values()) {
+                if (allowed(job, h) && also.test(h)) {
+                    list.add(h);
+                }
+            }
+            return list;
+        }
+
+        private Optional<Host> best(Submission job, List<Host> candidates, boolean ownOnly) {
+            Host best = null;
+            double bestScore = 0;
+            for (Host h : candidates) {
+                if (!job.perTask().fitsIn(room.get(h.id())) || (ownOnly && !h.mine() && h.up())) {
+                    continue;
+                }
+                double score = score(job, h);
+                if (best == null || score > bestScore) {
+                    best = h;
+                    bestScore = score;
+                }
+            }
+            return Optional.ofNullable(best);
+        }
+
+        /** Up before booting, a fetched image before cheapness, cheap kinds before dear ones, full before empty. */
+        private double score(Submission job, Host h) {
+            Resources free = room.get(h.id());
+            double fill = h.size().gpus() > 0 ? 1 - free.gpus() / h.size().gpus() : 1 - free.cpus() / Math.max(1e-9, h.size().cpus());
+            return (h.up() ? 8 : 0) + (h.spot() && job.spot() ? 3 : 0) + (h.images().contains(job.image()) ? 2 : 0) + fill;
+        }
+
+        private void gang(JobRecord j) {
+            Submission job = j.job();
+            int missing = j.unplacedCount();
+            if (!teamAllows(job, missing)) {
+                reasons.put(j.id(), "its team's unused limit does not cover the whole gang");
+                return;
+            }
+            var inZone = new HashMap<String, Integer>();
+            for (Claim c : j.claims()) {
+                Place p = s.whereabouts().get(c.host());
+                if (p != null) {
+                    inZone.merge(p.zone(), 1, Integer::sum);
+                }
+            }
+            Optional<String> zone = job.sameZone() && !inZone.isEmpty() ? inZone.keySet().stream().findFirst() : job.zone();
+            if (job.sameZone() && zone.isEmpty()) {
+                zone = zoneFor(job, missing);
+            }
+            int perZone = job.spread() ? (job.tasks() + 1) / 2 : job.tasks();
+            Optional<String> only = zone;
+            var places = new LinkedHashMap<Integer, String>();
+            int unplaced = 0;
+            var candidates = candidates(job, h -> only.isEmpty() || only.get().equals(h.zone()));
+            for (int task : j.unplaced(job.tasks())) {
+                var open = new ArrayList<Host>();
+                for (Host h : candidates) {
+                    if (inZone.getOrDefault(h.zone(), 0) < perZone) {
+                        open.add(h);
+                    }
+                }
+                Optional<Host> best = best(job, open, false);
+                if (best.isEmpty()) {
+                    best = evict(j, open);
+                    if (best.isPresent()) {
+                        take(job, best.get().id());
+                        inZone.merge(best.get().zone(), 1, Integer::sum);
+                        reasons.putIfAbsent(j.id(), "waits for lower work to give way on " + best.get().id());
+                        continue;
+                    }
+                    unplaced++;
+                    continue;
+                }
+                take(job, best.get().id());
+                inZone.merge(best.get().zone(), 1, Integer::sum);
+                if (bookable(best.get())) {
+                    places.put(task, best.get().id());
+                } else {
+                    reasons.putIfAbsent(j.id(), "waits for machines that are booting");
+                }
+            }
+            if (unplaced > 0) {
+                reasons.put(j.id(), "no room for " + unplaced + " of " + job.tasks() + " members" + only.map(z -> " in zone " + z).orElse(""));
+                shortfalls.add(new Shortfall(j, unplaced, only));
+                pending.merge(job.team(), job.perTask().times(unplaced), Resources::plus);
+            }
+            if (!places.isEmpty()) {
+                bookings.add(new Booking(j, places));
+            }
+        }
+
+        /** The zone with most room for the gang now, then with most soon, then one that still rents. */
+        private Optional<String> zoneFor(Submission job, int missing) {
+            var scores = new TreeMap<String, Double>();
+            for (Host h : candidates(job, x -> true)) {
+                int fits = fitCount(job.perTask(), room.get(h.id()), missing);
+                int emptied = fitCount(job.perTask(), withVictims(h, job), missing);
+                scores.merge(h.zone(), (h.up() ? 3.0 : 1.5) * fits + Math.max(0, emptied - fits) + (h.images().contains(job.image()) ? 0.2 * fits : 0), Double::sum);
+            }
+            for (Market m : s.refused()) {
+                scores.computeIfPresent(m.zone(), (z, v) -> v - 0.5);
+            }
+            return scores.entrySet().stream().filter(e -> e.getValue() > 0).max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
+        }
+
+        private Resources withVictims(Host h, Submission job) {
+            Resources r = room.get(h.id());
+            for (Victim v : victims.getOrDefault(h.id(), List.of())) {
+                if (mayEvict(job, v)) {
+                    r = r.plus(v.job().job().perTask());
+                }
+            }
+            return r;
+        }
+
+        private static int fitCount(Resources one, Resources free, int most) {
+            int n = 0;
+            while (n < most && one.times(n + 1).fitsIn(free)) {
+                n++;
+            }
+            return n;
+        }
+
+        private static boolean mayEvict(Submission job, Victim v) {
+            return v.job().job().priority().compareTo(job.priority()) < 0;
+        }
+
+        /** The machine where the fewest lower tasks have to give way. */
+        private Optional<Host> evict(JobRecord j, List<Host> open) {
+            Host best = null;
+            List<Victim> bestVictims = List.of();
+            for (Host h : open) {
+                Resources free = room.get(h.id()).plus(ending.getOrDefault(h.id(), Resources.NONE));
+                var chosen = new ArrayList<Victim>();
+                for (Victim v : victims.getOrDefault(h.id(), List.of())) {
+                    if (!j.job().perTask().fitsIn(free) && mayEvict(j.job(), v)) {
+                        chosen.add(v);
+                        free = free.plus(v.job().job().perTask());
+                    }
+                }
+                if (j.job().perTask().fitsIn(free) && (best == null || chosen.size() < bestVictims.size())) {
+                    best = h;
+                    bestVictims = chosen;
+                }
+            }
+            if (best == null) {
+                return Optional.empty();
+            }
+            Resources freed = ending.remove(best.id());
+            if (freed != null) {
+                room.merge(best.id(), freed, Resources::plus);
+            }
+            later.add(best.id());
+            for (Victim v : bestVictims) {
+                evictions.add(new Eviction(v.job(), v.claim(), j.id()));
+                victims.get(best.id()).remove(v);
+                room.merge(best.id(), v.job().job().perTask(), Resources::plus);
+            }
+            return Optional.of(best);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/protocol/MalformedException.java
@@ -0,0 +1,10 @@
+package org.dunespindle.protocol;
+
+/** A message that is not what the protocol says; its text names the field. */
+public final class MalformedException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    public MalformedException(String message) {
+        super(message, null, false, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/protocol/Priority.java
@@ -0,0 +1,22 @@
+package org.dunespindle.protocol;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/** Job priorities, lowest first so that {@code compareTo} orders them. */
+public enum Priority {
+    LOW, NORMAL, URGENT, CRITICAL;
+
+    public static Optional<Priority> parse(String text) {
+        for (Priority p : values()) {
+            if (p.wire().equals(text)) {
+                return Optional.of(p);
+            }
+        }
+        return Optional.empty();
+    }
+
+    public String wire() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/protocol/TaskPhase.java
@@ -0,0 +1,27 @@
+package org.dunespindle.protocol;
+
+import java.util.Optional;
+
+/** What a worker says of a task. */
+public enum TaskPhase {
+    FETCHING("pulling"), ASSEMBLING("gathering"), RUNNING("running"), SAVING("saving"), EXITED("exited");
+
+    private final String wire;
+
+    TaskPhase(String wire) {
+        this.wire = wire;
+    }
+
+    public String wire() {
+        return wire;
+    }
+
+    public static Optional<TaskPhase> parse(String text) {
+        for (TaskPhase p : values()) {
+            if (p.wire.equals(text)) {
+                return Optional.of(p);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/protocol/WorkerReport.java
@@ -0,0 +1,56 @@
+package org.dunespindle.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** A worker's report; {@code token} is the highest fencing token it has seen. */
+public record WorkerReport(String host, String address, String type, String zone, boolean spot, long session, long tick, long token,
+        Optional<Duration> notice, List<TaskStatus> tasks) {
+    /** Whether this report is newer than another of the same worker. */
+    public boolean newerThan(WorkerReport other) {
+        return session != other.session ? session > other.session : tick > other.tick;
+    }
+
+    public Optional<TaskStatus> find(PieceId task, long attempt) {
+        for (TaskStatus t : tasks) {
+            if (t.attempt() == attempt && t.task().equals(task)) {
+                return Optional.of(t);
+            }
+        }
+        return Optional.empty();
+    }
+
+    public static WorkerReport parse(JsonNode n) throws MalformedException {
+        if (!n.isObject()) {
+            throw new MalformedException("the body is not a map");
+        }
+        var f = new Submission.Fields(n);
+        JsonNode pieces = n.get("pieces");
+        var tasks = new ArrayList<TaskStatus>();
+        if (pieces != null && !pieces.isNull()) {
+            if (!pieces.isArray()) {
+                throw new MalformedException("pieces must be a list");
+            }
+            for (JsonNode p : pieces) {
+                tasks.add(status(p));
+            }
+        }
+        return new WorkerReport(f.text("host", 200), f.text("address", 200), f.text("hull", 200), f.text("dune", 200),
+                n.path("driftwood").asBoolean(false), f.whole("tenure", 0, Long.MAX_VALUE), f.whole("tick", 0, Long.MAX_VALUE),
+                f.whole("baton", 0, Long.MAX_VALUE), f.optionalSeconds("warningS"), List.copyOf(tasks));
+    }
+
+    private static TaskStatus status(JsonNode p) throws MalformedException {
+        if (!p.isObject()) {
+            throw new MalformedException("pieces must hold maps");
+        }
+        var f = new Submission.Fields(p);
+        PieceId id = PieceId.parse(f.text("piece", 200)).orElseThrow(() -> new MalformedException("piece must be a task's name"));
+        TaskPhase phase = TaskPhase.parse(f.text("phase", 32)).orElseThrow(() -> new MalformedException("phase is unknown"));
+        Optional<ExitCause> cause = phase == TaskPhase.EXITED ? Optional.of(ExitCause.parse(p.path("cause").asText(""))) : Optional.empty();
+        return new TaskStatus(id, f.whole("try", 0, Long.MAX_VALUE), phase, cause, p.path("saved").asBoolean(false));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/transport/CallFailure.java
@@ -0,0 +1,19 @@
+package org.dunespindle.transport;
+
+/**
+ * A request without an answer. Whether it was {@link #sent} decides what its sender may conclude: an
+ * unsent request can never be executed, a sent one may be executed at any later time.
+ */
+public final class CallFailure extends Exception {
+    private static final long serialVersionUID = 1L;
+    private final boolean sent;
+
+    public CallFailure(String message, boolean sent) {
+        super(message, null, false, false);
+        this.sent = sent;
+    }
+
+    public boolean sent() {
+        return sent;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/transport/HttpCaller.java
@@ -0,0 +1,166 @@
+package org.dunespindle.transport;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Outgoing requests over kept connections, one request at a time on each. All on one event loop. */
+public final class HttpCaller {
+    private static final int ANSWER_LIMIT = 8 << 20;
+    private static final int KEPT_PER_ADDRESS = 3;
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final Map<String, ArrayDeque<Channel>> kept = new HashMap<>();
+
+    public HttpCaller(EventLoop loop) {
+        this.loop = loop;
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_LIMIT), new Exchange());
+                    }
+                });
+    }
+
+    /** Sends a request; the result fails with a {@link CallFailure} when no whole answer came in time. */
+    public CompletableFuture<HttpAnswer> send(String address, String method, String target, byte[] body, String contentType, Duration timeout) {
+        var pending = new Pending(address, request(address, method, target, body, contentType));
+        pending.timer = loop.schedule(() -> pending.fail("no answer in time"), timeout.toMillis(), TimeUnit.MILLISECONDS);
+        ArrayDeque<Channel> idle = kept.getOrDefault(address, new ArrayDeque<>());
+        Channel channel;
+        while ((channel = idle.pollLast()) != null) {
+            if (channel.isActive()) {
+                pending.start(channel);
+                return pending.result;
+            }
+        }
+        int colon = address.lastIndexOf(':');
+        InetSocketAddress target4;
+        try {
+            target4 = new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        } catch (RuntimeException e) {
+            pending.fail("not an address: " + address);
+            return pending.result;
+        }
+        bootstrap.connect(target4).addListener((io.netty.channel.ChannelFuture f) -> {
+            if (!f.isSuccess()) {
+                pending.fail("no connection");
+            } else if (pending.result.isDone()) {
+                f.channel().close();
+            } else {
+                pending.start(f.channel());
+            }
+        });
+        return pending.result;
+    }
+
+    private static DefaultFullHttpRequest request(String address, String method, String target, byte[] body, String contentType) {
+        var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target, Unpooled.wrappedBuffer(body));
+        request.headers().set(HttpHeaderNames.HOST, address);
+        request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        if (body.length > 0) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        }
+        return request;
+    }
+
+    private final class Pending {
+        final String address;
+        final DefaultFullHttpRequest request;
+        final CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
+        ScheduledFuture<?> timer;
+        Channel channel;
+
+        Pending(String address, DefaultFullHttpRequest request) {
+            this.address = address;
+            this.request = request;
+        }
+
+        void start(Channel c) {
+            channel = c;
+            c.pipeline().get(Exchange.class).pending = this;
+            c.writeAndFlush(request);
+        }
+
+        void fail(String why) {
+            timer.cancel(false);
+            if (channel != null) {
+                channel.close();
+            }
+            result.completeExceptionally(new CallFailure(why, channel != null));
+        }
+
+        void finish(HttpAnswer answer, boolean keep) {
+            timer.cancel(false);
+            ArrayDeque<Channel> idle = kept.computeIfAbsent(address, a -> new ArrayDeque<>());
+            if (keep && idle.size() < KEPT_PER_ADDRESS) {
+                idle.addLast(channel);
+            } else {
+                channel.close();
+            }
+            result.complete(answer);
+        }
+    }
+
+    private static final class Exchange extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private Pending pending;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            Pending p = pending;
+            pending = null;
+            if (p == null || p.result.isDone()) {
+                ctx.close();
+            } else if (response.decoderResult().isFailure()) {
+                p.fail("unreadable answer");
+            } else {
+                byte[] body = new byte[response.content().readableBytes()];
+                response.content().readBytes(body);
+                p.finish(new HttpAnswer(response.status().code(), body), HttpUtil.isKeepAlive(response));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            end("connection ended");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+            end("connection failed");
+        }
+
+        private void end(String why) {
+            Pending p = pending;
+            pending = null;
+            if (p != null && !p.result.isDone()) {
+                p.fail(why);
+            }
+        }
+    }
+}
