--- a/src/main/java/org/dunespindle/protocol/Pack.java
+++ b/src/main/java/org/dunespindle/protocol/Pack.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.io.JsonEOFException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -31,7 +32,7 @@
     public static JsonNode read(byte[] body) throws MalformedException {
         try (JsonParser parser = MAPPER.getFactory().createParser(body)) {
             JsonNode node = MAPPER.readTree(parser);
-            if (node == null || node.isMissingNode() || parser.nextToken() != null) {
+            if (node == null || node.isMissingNode() || !atEnd(parser)) {
                 throw new MalformedException("the body is not one MessagePack value");
             }
             return node;
@@ -40,6 +41,15 @@
         }
     }
 
+    /** The MessagePack parser tells the end of input by an exception. */
+    private static boolean atEnd(JsonParser parser) throws IOException {
+        try {
+            return parser.nextToken() == null;
+        } catch (JsonEOFException e) {
+            return true;
+        }
+    }
+
     public static byte[] write(JsonNode node) {
         try {
             return MAPPER.writeValueAsBytes(node);
