--- a/src/main/java/org/dunespindle/bookkeeping/JobRecord.java
+++ b/src/main/java/org/dunespindle/bookkeeping/JobRecord.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Shape;
 import org.dunespindle.protocol.Submission;
 
 /**
@@ -169,8 +170,8 @@
             return with(end, generation, next, again, all, m, m == Mode.IDLE ? 0 : attempt).compact();
         }
         var waiting = new ArrayList<>(again);
-        if (!done) {
-            waiting.add(task);
+        if (!done || job().shape() == Shape.SERVICE) {
+            waiting.add(task); // a service's task that ends is started again: only its user ends a service
         }
         boolean over = end == End.OPEN && next == job().tasks() && waiting.isEmpty() && all.isEmpty();
         return with(over ? End.DONE : end, generation, next, waiting, all, mode, attempt).compact();
--- /dev/null
+++ b/src/main/java/org/dunespindle/protocol/Shape.java
@@ -0,0 +1,32 @@
+package org.dunespindle.protocol;
+
+import java.util.Optional;
+
+/** What a job's tasks are to one another. */
+public enum Shape {
+    /** Independent tasks, each of which runs to completion. */
+    ARRAY("array"),
+    /** All tasks run at the same time or none does. */
+    GANG("group"),
+    /** Independent tasks that run until the job is cancelled. */
+    SERVICE("daemon");
+
+    private final String wire;
+
+    Shape(String wire) {
+        this.wire = wire;
+    }
+
+    public String wire() {
+        return wire;
+    }
+
+    public static Optional<Shape> parse(String text) {
+        for (Shape s : values()) {
+            if (s.wire.equals(text)) {
+                return Optional.of(s);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/src/main/java/org/dunespindle/protocol/Submission.java
+++ b/src/main/java/org/dunespindle/protocol/Submission.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 
 /** A job as its user describes it. */
-public record Submission(String id, String jobClass, String team, boolean gang, Priority priority, int tasks, Resources perTask,
+public record Submission(String id, String jobClass, String team, Shape shape, Priority priority, int tasks, Resources perTask,
         Optional<List<String>> types, Optional<String> zone, boolean sameZone, boolean spread, boolean spot, String image, double imageGb,
         Duration estimate, Duration checkpointEvery, Duration saveTime, Optional<Duration> due) {
     public static final int MOST_TASKS = 100_000;
@@ -18,6 +18,10 @@
         return perTask.times(tasks);
     }
 
+    public boolean gang() {
+        return shape == Shape.GANG;
+    }
+
     /** Whether a stopped task can save its progress. */
     public boolean saves() {
         return !checkpointEvery.isZero();
@@ -33,15 +37,11 @@
         if (!wellFormedId(id)) {
             throw new MalformedException("id must look like wk-000412");
         }
-        boolean gang = switch (f.text("shape", 16)) {
-            case "group" -> true;
-            case "array" -> false;
-            default -> throw new MalformedException("shape must be array or group");
-        };
+        Shape shape = Shape.parse(f.text("shape", 16)).orElseThrow(() -> new MalformedException("shape must be array, group or daemon"));
         Priority priority = Priority.parse(f.text("rank", 16)).orElseThrow(() -> new MalformedException("rank must be critical, urgent, normal or low"));
         long pieces = f.whole("pieces", 1, MOST_TASKS);
         var per = new Resources(f.amount("vcpus"), f.amount("accelerators"), f.amount("ramGb"));
-        return new Submission(id, f.text("jobclass", 128), f.text("owner", 128), gang, priority, (int) pieces, per,
+        return new Submission(id, f.text("jobclass", 128), f.text("owner", 128), shape, priority, (int) pieces, per,
                 f.optionalTexts("hulls", 64), f.optionalText("dune", 128), f.flag("samePlace"), f.flag("apart"), f.flag("driftwood"),
                 f.text("bundle", 200), f.amount("imageGb"), f.seconds("guessS"), f.seconds("snapshotS"), f.seconds("flushS"), f.optionalSeconds("dueS"));
     }
@@ -65,7 +65,7 @@
     /** The same map that {@link #parse} reads. */
     public ObjectNode toNode() {
         ObjectNode n = JsonNodeFactory.instance.objectNode();
-        n.put("id", id).put("jobclass", jobClass).put("owner", team).put("shape", gang ? "group" : "array").put("rank", priority.wire()).put("pieces", tasks);
+        n.put("id", id).put("jobclass", jobClass).put("owner", team).put("shape", shape.wire()).put("rank", priority.wire()).put("pieces", tasks);
         n.put("vcpus", perTask.cpus()).put("accelerators", perTask.gpus()).put("ramGb", perTask.ramGb());
         types.ifPresent(list -> list.forEach(n.withArray("/hulls")::add));
         if (types.isPresent() && types.get().isEmpty()) {
