--- a/src/main/java/org/dunespindle/bookkeeping/StateClient.java
+++ b/src/main/java/org/dunespindle/bookkeeping/StateClient.java
@@ -10,12 +10,12 @@
 import org.dunespindle.protocol.Settings;
 import org.dunespindle.transport.CallFailure;
 import org.dunespindle.transport.HttpAnswer;
-import org.dunespindle.transport.HttpCaller;
+import org.dunespindle.transport.Caller;
 
 /** The state service, called within this controller's share of its rates. */
 public final class StateClient {
     private static final Duration TIMEOUT = Duration.ofMillis(1800);
-    private final HttpCaller http;
+    private final Caller http;
     private final String address;
     private final Timeline timeline;
     private final RateBudget requests;
@@ -24,7 +24,7 @@
     private int failuresInARow;
     private Duration lastServed = Duration.ZERO;
 
-    public StateClient(HttpCaller http, Settings settings, Timeline timeline) {
+    public StateClient(Caller http, Settings settings, Timeline timeline) {
         this.http = http;
         this.address = settings.stateAddress();
         this.timeline = timeline;
--- a/src/main/java/org/dunespindle/coordination/CloudClient.java
+++ b/src/main/java/org/dunespindle/coordination/CloudClient.java
@@ -16,13 +16,13 @@
 import org.dunespindle.protocol.Settings;
 import org.dunespindle.transport.CallFailure;
 import org.dunespindle.transport.HttpAnswer;
-import org.dunespindle.transport.HttpCaller;
+import org.dunespindle.transport.Caller;
 
 /** The cloud, called within its rate. */
 public final class CloudClient {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final int PAGE = 500;
-    private final HttpCaller http;
+    private final Caller http;
     private final String address;
     private final Timeline timeline;
     private final RateBudget budget;
@@ -31,7 +31,7 @@
     /** A rental's outcome: machines, or a refusal for want of capacity. */
     public record Rented(List<String> hosts, boolean noCapacity) {}
 
-    public CloudClient(HttpCaller http, Settings settings, Timeline timeline) {
+    public CloudClient(Caller http, Settings settings, Timeline timeline) {
         this.http = http;
         this.address = settings.cloudAddress();
         this.timeline = timeline;
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -30,7 +30,7 @@
 import org.dunespindle.protocol.Settings;
 import org.dunespindle.protocol.TaskPhase;
 import org.dunespindle.protocol.TaskStatus;
-import org.dunespindle.transport.HttpCaller;
+import org.dunespindle.transport.Caller;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -74,7 +74,7 @@
     private Duration lastCost = Duration.ZERO;
     private boolean roundSet;
 
-    public Controller(Settings settings, HttpCaller http, Timeline timeline) {
+    public Controller(Settings settings, Caller http, Timeline timeline) {
         this.settings = settings;
         this.timeline = timeline;
         this.options = Options.defaults(settings.workers().lease());
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -22,7 +22,7 @@
 import org.dunespindle.protocol.TaskPhase;
 import org.dunespindle.protocol.WorkerReport;
 import org.dunespindle.transport.CallFailure;
-import org.dunespindle.transport.HttpCaller;
+import org.dunespindle.transport.Caller;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,14 +40,14 @@
     private final Replica replica;
     private final Membership membership;
     private final Committer committer;
-    private final HttpCaller http;
+    private final Caller http;
     private final Timeline timeline;
     private final Sessions sessions;
     private final Runnable changed;
     /** Views older than this no longer entitle: a cancellation told elsewhere may be unknown here. */
     private final Duration viewLimit;
 
-    public HostDesk(Settings settings, Replica replica, Membership membership, Committer committer, HttpCaller http, Timeline timeline, Sessions sessions, Runnable changed) {
+    public HostDesk(Settings settings, Replica replica, Membership membership, Committer committer, Caller http, Timeline timeline, Sessions sessions, Runnable changed) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
--- a/src/main/java/org/dunespindle/coordination/Peers.java
+++ b/src/main/java/org/dunespindle/coordination/Peers.java
@@ -14,7 +14,7 @@
 import java.util.function.Supplier;
 import org.dunespindle.bookkeeping.Timeline;
 import org.dunespindle.protocol.Settings;
-import org.dunespindle.transport.HttpCaller;
+import org.dunespindle.transport.Caller;
 
 /**
  * What the controllers tell one another about once a second: which machines can take tasks, which were
@@ -25,14 +25,14 @@
     private static final Duration FRESH = Duration.ofSeconds(4);
     private static final ObjectMapper JSON = new ObjectMapper();
     private final Settings settings;
-    private final HttpCaller http;
+    private final Caller http;
     private final Timeline timeline;
     private final Map<String, Word> words = new HashMap<>();
 
     /** The last word of a controller. */
     public record Word(Duration at, Set<String> ready, Map<String, Set<String>> images, Map<String, Duration> heardAt, Set<String> bad, Duration viewAge) {}
 
-    public Peers(Settings settings, HttpCaller http, Timeline timeline) {
+    public Peers(Settings settings, Caller http, Timeline timeline) {
         this.settings = settings;
         this.http = http;
         this.timeline = timeline;
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -79,6 +79,7 @@
     }
 
     private static final class Work {
+        private static final int MOST_COUNTED = 64;
         private final Snapshot s;
         private final Map<String, Host> hosts = new TreeMap<>();
         private final Map<String, Resources> room = new HashMap<>();
@@ -191,12 +192,11 @@
             int budget = Math.max(0, s.mostTasksPerJob() - j.claims().size() - j.again().size());
             var places = new LinkedHashMap<Integer, String>();
             int waiting = 0;
-            int index = 0;
+            var zones = new Zones(j);
             var candidates = candidates(job, h -> true);
             boolean ownOnly = s.impatient().contains(j.id());
             int fresh = 0;
             for (int task : j.unplaced(s.mostTasksPerJob())) {
-                index++;
                 if (!teamAllows(job, 1)) {
                     reasons.put(j.id(), "its team's limit is used up");
                     break;
@@ -204,7 +204,7 @@
                 if (task >= j.next() && fresh++ >= budget) {
                     break;
                 }
-                Optional<Host> best = best(job, candidates, ownOnly);
+                Optional<Host> best = best(job, candidates, zones, ownOnly);
                 if (best.isEmpty()) {
                     if (!rentable(job, 1)) {
                         break;
@@ -214,6 +214,7 @@
                     continue;
                 }
                 take(job, best.get().id());
+                zones.add(best.get().zone());
                 if (bookable(best.get())) {
                     places.put(task, best.get().id());
                 } else {
@@ -225,7 +226,7 @@
             }
             if (waiting > 0) {
                 reasons.putIfAbsent(j.id(), "no room on machines it may use");
-                shortfalls.add(new Shortfall(j, waiting, job.zone()));
+                shortfalls.add(new Shortfall(j, waiting, zones.only));
             }
         }
 
@@ -239,11 +240,45 @@
             return list;
         }
 
-        private Optional<Host> best(Submission job, List<Host> candidates, boolean ownOnly) {
+        /** Where a job's tasks may still go, given where they are: one zone for all, or at most half in each. */
+        private final class Zones {
+            private final Submission job;
+            private final int most;
+            private final Map<String, Integer> taken = new HashMap<>();
+            private Optional<String> only;
+
+            Zones(JobRecord j) {
+                job = j.job();
+                most = job.spread() ? (job.tasks() + 1) / 2 : Integer.MAX_VALUE;
+                for (Claim c : j.claims()) {
+                    Place p = s.whereabouts().get(c.host());
+                    if (p != null) {
+                        taken.merge(p.zone(), 1, Integer::sum);
+                    }
+                }
+                only = job.zone();
+                if (job.sameZone() && only.isEmpty()) {
+                    only = taken.isEmpty() ? zoneFor(job, Math.min(MOST_COUNTED, j.unplacedCount())) : taken.keySet().stream().findFirst();
+                }
+            }
+
+            boolean allows(Host h) {
+                return only.map(h.zone()::equals).orElse(true) && taken.getOrDefault(h.zone(), 0) < most;
+            }
+
+            void add(String zone) {
+                taken.merge(zone, 1, Integer::sum);
+                if (job.sameZone()) {
+                    only = Optional.of(zone);
+                }
+            }
+        }
+
+        private Optional<Host> best(Submission job, List<Host> candidates, Zones zones, boolean ownOnly) {
             Host best = null;
             double bestScore = 0;
             for (Host h : candidates) {
-                if (!job.perTask().fitsIn(room.get(h.id())) || (ownOnly && !h.mine() && h.up())) {
+                if (!zones.allows(h) || !job.perTask().fitsIn(room.get(h.id())) || (ownOnly && !h.mine() && h.up())) {
                     continue;
                 }
                 double score = score(job, h);
@@ -269,52 +304,34 @@
                 reasons.put(j.id(), "its team's unused limit does not cover the whole gang");
                 return;
             }
-            var inZone = new HashMap<String, Integer>();
-            for (Claim c : j.claims()) {
-                Place p = s.whereabouts().get(c.host());
-                if (p != null) {
-                    inZone.merge(p.zone(), 1, Integer::sum);
-                }
-            }
-            Optional<String> zone = job.sameZone() && !inZone.isEmpty() ? inZone.keySet().stream().findFirst() : job.zone();
-            if (job.sameZone() && zone.isEmpty()) {
-                zone = zoneFor(job, missing);
-            }
-            int perZone = job.spread() ? (job.tasks() + 1) / 2 : job.tasks();
-            Optional<String> only = zone;
+            var zones = new Zones(j);
             var places = new LinkedHashMap<Integer, String>();
             int unplaced = 0;
-            var candidates = candidates(job, h -> only.isEmpty() || only.get().equals(h.zone()));
+            var candidates = candidates(job, h -> true);
             for (int task : j.unplaced(job.tasks())) {
-                var open = new ArrayList<Host>();
-                for (Host h : candidates) {
-                    if (inZone.getOrDefault(h.zone(), 0) < perZone) {
-                        open.add(h);
-                    }
+                Optional<Host> best = best(job, candidates, zones, false);
+                boolean evicting = best.isEmpty();
+                if (evicting) {
+                    best = evict(j, candidates.stream().filter(zones::allows).toList());
                 }
-                Optional<Host> best = best(job, open, false);
                 if (best.isEmpty()) {
-                    best = evict(j, open);
-                    if (best.isPresent()) {
-                        take(job, best.get().id());
-                        inZone.merge(best.get().zone(), 1, Integer::sum);
-                        reasons.putIfAbsent(j.id(), "waits for lower work to give way on " + best.get().id());
-                        continue;
-                    }
                     unplaced++;
                     continue;
                 }
-                take(job, best.get().id());
-                inZone.merge(best.get().zone(), 1, Integer::sum);
-                if (bookable(best.get())) {
-                    places.put(task, best.get().id());
+                Host h = best.get();
+                take(job, h.id());
+                zones.add(h.zone());
+                if (evicting) {
+                    reasons.putIfAbsent(j.id(), "waits for lower work to give way on " + h.id());
+                } else if (bookable(h)) {
+                    places.put(task, h.id());
                 } else {
                     reasons.putIfAbsent(j.id(), "waits for machines that are booting");
                 }
             }
             if (unplaced > 0) {
-                reasons.put(j.id(), "no room for " + unplaced + " of " + job.tasks() + " members" + only.map(z -> " in zone " + z).orElse(""));
-                shortfalls.add(new Shortfall(j, unplaced, only));
+                reasons.put(j.id(), "no room for " + unplaced + " of " + job.tasks() + " members" + zones.only.map(z -> " in zone " + z).orElse(""));
+                shortfalls.add(new Shortfall(j, unplaced, zones.only));
                 pending.merge(job.team(), job.perTask().times(unplaced), Resources::plus);
             }
             if (!places.isEmpty()) {
--- a/src/main/java/org/dunespindle/transport/HttpCaller.java
+++ b/src/main/java/org/dunespindle/transport/HttpCaller.java
@@ -28,7 +28,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Outgoing requests over kept connections, one request at a time on each. All on one event loop. */
-public final class HttpCaller {
+public final class HttpCaller implements Caller {
     private static final int ANSWER_LIMIT = 8 << 20;
     private static final int KEPT_PER_ADDRESS = 3;
     private final EventLoop loop;
@@ -46,7 +46,7 @@
                 });
     }
 
-    /** Sends a request; the result fails with a {@link CallFailure} when no whole answer came in time. */
+    @Override
     public CompletableFuture<HttpAnswer> send(String address, String method, String target, byte[] body, String contentType, Duration timeout) {
         var pending = new Pending(address, request(address, method, target, body, contentType));
         pending.timer = loop.schedule(() -> pending.fail("no answer in time"), timeout.toMillis(), TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/src/test/java/org/dunespindle/sim/Sim.java
@@ -0,0 +1,80 @@
+package org.dunespindle.sim;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.dunespindle.bookkeeping.Timeline;
+
+/** Virtual time: events in order, nothing waits for real. */
+public final class Sim {
+    private final PriorityQueue<Event> queue = new PriorityQueue<>();
+    private Duration now = Duration.ZERO;
+    private long sequence;
+    public final Random random;
+
+    private record Event(Duration at, long sequence, Runnable work) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            int c = at.compareTo(o.at);
+            return c != 0 ? c : Long.compare(sequence, o.sequence);
+        }
+    }
+
+    public Sim(long seed) {
+        this.random = new Random(seed);
+    }
+
+    public Duration now() {
+        return now;
+    }
+
+    public void after(Duration delay, Runnable work) {
+        queue.add(new Event(now.plus(delay.isNegative() ? Duration.ZERO : delay), sequence++, work));
+    }
+
+    public void after(long millis, Runnable work) {
+        after(Duration.ofMillis(millis), work);
+    }
+
+    public void run(Duration until) {
+        while (!queue.isEmpty() && queue.peek().at().compareTo(until) <= 0) {
+            Event e = queue.poll();
+            now = e.at();
+            e.work().run();
+        }
+        now = until;
+    }
+
+    /** A process's timers: they die with it. */
+    public final class Process implements Timeline {
+        private boolean dead;
+
+        public void kill() {
+            dead = true;
+        }
+
+        public boolean isDead() {
+            return dead;
+        }
+
+        @Override
+        public Duration now() {
+            return now;
+        }
+
+        @Override
+        public Instant wallTime() {
+            return Instant.ofEpochSecond(1_700_000_000).plus(now);
+        }
+
+        @Override
+        public void after(Duration delay, Runnable work) {
+            Sim.this.after(delay, () -> {
+                if (!dead) {
+                    work.run();
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dunespindle/sim/StateStandIn.java
@@ -0,0 +1,148 @@
+package org.dunespindle.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.dunespindle.protocol.Pack;
+
+/** The state service as the protocol describes it, without its rate limits. */
+public final class StateStandIn {
+    private final Sim sim;
+    private final TreeMap<String, Row> rows = new TreeMap<>();
+    private final Map<Long, Duration> leases = new HashMap<>();
+    private final List<ObjectNode> log = new ArrayList<>();
+    private long epoch = 1;
+    private long nextLease = 1;
+    public boolean out;
+
+    public record Row(JsonNode value, long stamp, long tether) {}
+
+    /** An answer of a stand-in. */
+    public record Reply(int status, JsonNode body) {}
+
+    public StateStandIn(Sim sim) {
+        this.sim = sim;
+    }
+
+    public Map<String, Row> rows() {
+        return rows;
+    }
+
+    public Reply answer(String method, String target, JsonNode body) {
+        if (out) {
+            return new Reply(503, Pack.map());
+        }
+        expire();
+        String path = target.contains("?") ? target.substring(0, target.indexOf('?')) : target;
+        if (path.equals("/txn")) {
+            return txn(body);
+        }
+        if (path.equals("/holds")) {
+            leases.put(nextLease, sim.now().plusMillis(body.path("ttlMs").asLong()));
+            ttl.put(nextLease, body.path("ttlMs").asLong());
+            return new Reply(200, Pack.map().put("tether", nextLease++));
+        }
+        if (path.startsWith("/holds/")) {
+            long id = Long.parseLong(path.split("/")[2]);
+            if (!leases.containsKey(id)) {
+                return new Reply(404, Pack.map());
+            }
+            leases.put(id, sim.now().plusMillis(ttl.get(id)));
+            return new Reply(200, Pack.map());
+        }
+        if (path.equals("/watch")) {
+            long since = Long.parseLong(parameter(target, "since"));
+            ObjectNode n = Pack.map().put("epoch", epoch);
+            var list = n.putArray("log");
+            log.stream().filter(e -> e.path("stamp").asLong() > since).forEach(list::add);
+            return new Reply(200, n);
+        }
+        String under = parameter(target, "under");
+        String since = parameter(target, "since");
+        int limit = Integer.parseInt(parameter(target, "limit"));
+        ObjectNode n = Pack.map().put("epoch", epoch);
+        var list = n.putArray("rows");
+        boolean more = false;
+        for (var e : rows.tailMap(since.isEmpty() ? under : since, since.isEmpty()).entrySet()) {
+            if (!e.getKey().startsWith(under)) {
+                break;
+            }
+            if (list.size() == limit) {
+                more = true;
+                break;
+            }
+            list.addObject().put("key", e.getKey()).put("stamp", e.getValue().stamp()).set("v", e.getValue().value());
+        }
+        return new Reply(200, n.put("more", more));
+    }
+
+    private final Map<Long, Long> ttl = new HashMap<>();
+
+    private static String parameter(String target, String name) {
+        for (String p : target.substring(target.indexOf('?') + 1).split("&")) {
+            if (p.startsWith(name + "=")) {
+                return p.substring(name.length() + 1);
+            }
+        }
+        return "";
+    }
+
+    private void expire() {
+        for (var e : List.copyOf(leases.entrySet())) {
+            if (e.getValue().compareTo(sim.now()) < 0) {
+                leases.remove(e.getKey());
+                for (var r : List.copyOf(rows.entrySet())) {
+                    if (r.getValue().tether() == e.getKey()) {
+                        epoch++;
+                        remove(r.getKey());
+                    }
+                }
+            }
+        }
+    }
+
+    /** After an outage every lease has its full time again. */
+    public void recover() {
+        out = false;
+        leases.replaceAll((id, t) -> sim.now().plusMillis(ttl.get(id)));
+    }
+
+    private void remove(String key) {
+        rows.remove(key);
+        log.add(Pack.map().put("remove", key).put("stamp", epoch));
+    }
+
+    private Reply txn(JsonNode body) {
+        for (JsonNode g : body.path("guards")) {
+            Row r = rows.get(g.path("key").asText());
+            if ((r == null ? 0 : r.stamp()) != g.path("stamp").asLong()) {
+                return new Reply(409, Pack.map().put("epoch", epoch));
+            }
+        }
+        for (JsonNode a : body.path("apply")) {
+            if (a.has("tether") && !leases.containsKey(a.path("tether").asLong())) {
+                return new Reply(400, Pack.map().put("error", "no such lease"));
+            }
+        }
+        epoch++;
+        for (JsonNode a : body.path("apply")) {
+            if (a.has("remove")) {
+                if (rows.containsKey(a.path("remove").asText())) {
+                    remove(a.path("remove").asText());
+                }
+            } else {
+                String key = a.path("write").asText();
+                rows.put(key, new Row(a.path("v"), epoch, a.path("tether").asLong(0)));
+                ObjectNode e = Pack.map().put("write", key).put("stamp", epoch);
+                e.set("v", a.path("v"));
+                log.add(e);
+            }
+        }
+        return new Reply(200, Pack.map().put("epoch", epoch));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -0,0 +1,423 @@
+package org.dunespindle.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import org.dunespindle.coordination.Controller;
+import org.dunespindle.coordination.FrontDesk;
+import org.dunespindle.coordination.Peers;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.PieceId;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.protocol.Submission;
+import org.dunespindle.protocol.WorkerReport;
+import org.dunespindle.transport.CallFailure;
+import org.dunespindle.transport.Caller;
+import org.dunespindle.transport.HttpAnswer;
+
+/**
+ * Three real controllers in virtual time with stand-ins for state service, cloud and workers, over a
+ * network that delays, loses and repeats. Keeps watch over the protocol's rules.
+ */
+public final class World {
+    static final int SLOTS = 4;
+    static final Duration LEASE = Duration.ofSeconds(10);
+    static final Duration GANG_WAIT = Duration.ofSeconds(30);
+    static final Duration CANCEL = Duration.ofSeconds(30);
+    private static final List<String> ZONES = List.of("east", "west");
+    public final Sim sim;
+    public final StateStandIn state;
+    public final List<String> broken = new ArrayList<>();
+    private final Controller[] nodes = new Controller[3];
+    private final Sim.Process[] processes = new Sim.Process[3];
+    private final Map<String, WorkerStandIn> workers = new TreeMap<>();
+    private final Map<String, Submission> jobs = new LinkedHashMap<>();
+    private final Map<String, Set<Integer>> done = new HashMap<>();
+    private final Map<String, Duration> cancelled = new HashMap<>();
+    private final Map<String, Duration> overAt = new HashMap<>();
+    private final Map<String, String> told = new HashMap<>();
+    private final Map<String, List<String>> charters = new HashMap<>();
+    public double loss;
+    public double repeat;
+    private int nextMachine = 1;
+
+    public World(long seed) {
+        sim = new Sim(seed);
+        state = new StateStandIn(sim);
+        for (int i = 0; i < 3; i++) {
+            boot(i);
+        }
+        sim.after(100, this::watch);
+    }
+
+    private Settings settings(int i) {
+        var seeds = new StringBuilder();
+        for (int k = 0; k < 3; k++) {
+            if (k != i) {
+                seeds.append("[[seeds]]\nnode_name = \"n%d\"\narea = \"east\"\naddress = \"node:%d\"\n".formatted(k, k));
+            }
+        }
+        String file = """
+                node_name = "n%d"
+                area = "east"
+                front = "127.0.0.1:1"
+                peer_listen = "127.0.0.1:2"
+                %s
+                [outside]
+                cloud = "cloud:1"
+                state = "state:1"
+                [deployment]
+                zones = ["east", "west"]
+                [[deployment.teams]]
+                name = "red"
+                cpus = 0.0
+                cpus_max = 0.0
+                gpus = 4.0
+                gpus_max = 10.0
+                [[deployment.teams]]
+                name = "blue"
+                cpus = 0.0
+                cpus_max = 0.0
+                gpus = 2.0
+                gpus_max = 6.0
+                [deployment.workers]
+                report_s = 1.0
+                lease_s = 10.0
+                gang_wait_s = 30.0
+                gang_peer_s = 5.0
+                cancel_s = 30.0
+                [deployment.state]
+                rps = 300.0
+                write_rps = 150.0
+                value_kb = 8.0
+                txn_ops = 16
+                [deployment.cloud]
+                rps = 8.0
+                list_lag_s = 3.0
+                """.formatted(i, seeds);
+        try {
+            return Settings.parse(new TomlMapper().readTree(file));
+        } catch (IOException | MalformedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void boot(int i) {
+        var process = sim.new Process();
+        processes[i] = process;
+        nodes[i] = new Controller(settings(i), caller(process), process);
+        nodes[i].start();
+    }
+
+    /** Kills a controller; a new process of the same name comes after the pause. */
+    public void crash(int i, Duration pause) {
+        processes[i].kill();
+        nodes[i] = null;
+        sim.after(pause, () -> boot(i));
+    }
+
+    int nodeIndex(String name) {
+        return name.matches("n[0-2]") ? name.charAt(1) - '0' : -1;
+    }
+
+    public WorkerStandIn worker(int index) {
+        List<WorkerStandIn> all = workers.values().stream().filter(w -> !w.dead).toList();
+        return all.isEmpty() ? null : all.get(index % all.size());
+    }
+
+    public void die(WorkerStandIn w) {
+        w.dead = true;
+    }
+
+    /** A machine without network for a while; it is told nothing and heard by nobody, and what was sent arrives late. */
+    public void cut(WorkerStandIn w, Duration length) {
+        w.cut = true;
+        sim.after(length, () -> w.cut = false);
+    }
+
+    private long delay() {
+        return 2 + sim.random.nextInt(15) + (sim.random.nextInt(50) == 0 ? 300 : 0);
+    }
+
+    private Caller caller(Sim.Process owner) {
+        return (address, method, target, body, type, timeout) -> {
+            var result = new CompletableFuture<HttpAnswer>();
+            sim.after(timeout, () -> {
+                if (!owner.isDead()) {
+                    result.completeExceptionally(new CallFailure("no answer in time", true));
+                }
+            });
+            boolean twice = sim.random.nextDouble() < repeat && address.startsWith("worker");
+            for (int copy = 0; copy < (twice ? 2 : 1); copy++) {
+                sim.after(delay() + copy * sim.random.nextInt(8000), () -> deliver(owner, address, method, target, body, result));
+            }
+            return result;
+        };
+    }
+
+    private void deliver(Sim.Process owner, String address, String method, String target, byte[] body, CompletableFuture<HttpAnswer> result) {
+        WorkerStandIn w = address.startsWith("worker") ? workers.get("i-" + address.substring(7)) : null;
+        if (w != null && w.cut && !w.dead) {
+            sim.after(500, () -> deliver(owner, address, method, target, body, result)); // held back, delivered late
+            return;
+        }
+        StateStandIn.Reply reply;
+        try {
+            reply = reply(address, method, target, address.startsWith("node") ? null : body.length == 0 ? Pack.map() : Pack.read(body), body, w);
+        } catch (MalformedException e) {
+            throw new IllegalStateException(e);
+        }
+        if (reply == null || sim.random.nextDouble() < loss) {
+            return; // executed, or not there; either way no answer comes
+        }
+        byte[] bytes = address.startsWith("node") ? Peers.write(reply.body()) : Pack.write(reply.body());
+        sim.after(delay(), () -> {
+            if (!owner.isDead()) {
+                result.complete(new HttpAnswer(reply.status(), bytes));
+            }
+        });
+    }
+
+    private StateStandIn.Reply reply(String address, String method, String target, JsonNode body, byte[] raw, WorkerStandIn w) {
+        if (address.startsWith("state")) {
+            return state.answer(method, target, body);
+        }
+        if (address.startsWith("cloud")) {
+            return cloud(target, body);
+        }
+        if (address.startsWith("node")) {
+            Controller c = nodes[address.charAt(5) - '0'];
+            if (c == null) {
+                return null;
+            }
+            c.peers().hear(raw);
+            return new StateStandIn.Reply(200, c.ownWord());
+        }
+        return w == null || w.dead ? null : w.orders(body);
+    }
+
+    private StateStandIn.Reply cloud(String target, JsonNode body) {
+        ObjectNode n = Pack.map();
+        if (target.startsWith("/catalog")) {
+            ObjectNode h = n.putArray("hulls").addObject().put("name", "box").put("vcpus", 4.0).put("accelerators", 4.0).put("ramGb", 4.0).put("cacheGb", 50.0)
+                    .put("fetchGbPerS", 1.0).put("hourly", 10.0).put("lowPrice", 4.0).put("readyS", 4.0);
+            ZONES.forEach(h.putArray("dunes")::add);
+        } else if (target.startsWith("/rentals/return")) {
+            body.path("hosts").forEach(h -> {
+                WorkerStandIn w = workers.remove(h.asText());
+                if (w != null) {
+                    w.dead = true;
+                }
+            });
+        } else if (target.equals("/rentals")) {
+            var names = charters.computeIfAbsent(body.path("charter").asText(), c -> rent(body));
+            if (names.isEmpty()) {
+                charters.remove(body.path("charter").asText());
+                return new StateStandIn.Reply(503, n.put("error", "no capacity"));
+            }
+            names.forEach(n.putArray("hosts")::add);
+        } else {
+            var list = n.putArray("hosts");
+            workers.values().forEach(w -> list.addObject().put("id", w.id).put("address", w.address()).put("hull", "box").put("dune", w.zone).put("driftwood", w.spot)
+                    .put("phase", "running").put("ageS", 20.0));
+        }
+        return new StateStandIn.Reply(200, n);
+    }
+
+    private List<String> rent(JsonNode body) {
+        var names = new ArrayList<String>();
+        for (int i = 0; i < body.path("count").asInt() && workers.size() + names.size() < 7; i++) {
+            String id = "i-%04d".formatted(nextMachine++);
+            names.add(id);
+            workers.put(id, new WorkerStandIn(this, id, body.path("dune").asText(), body.path("driftwood").asBoolean()));
+        }
+        return names;
+    }
+
+    void toNode(int node, WorkerStandIn from, ObjectNode report, BiConsumer<Integer, JsonNode> answer) {
+        Sim.Process target = processes[node];
+        Controller c = nodes[node];
+        sim.after(delay(), () -> {
+            if (c == null || target.isDead() || from.cut || from.dead) {
+                return;
+            }
+            try {
+                c.hostDesk().report(WorkerReport.parse(Pack.read(Pack.write(report))), (status, body) -> sim.after(delay(), () -> {
+                    if (!from.cut && !from.dead && sim.random.nextDouble() >= loss) {
+                        answer.accept(status, body);
+                    }
+                }));
+            } catch (MalformedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    // The users
+
+    public void submit(Submission job) {
+        jobs.put(job.id(), job);
+        offer(job);
+    }
+
+    private void offer(Submission job) {
+        Duration asked = sim.now();
+        ask(n -> n.submit(Pack.write(job.toNode()), a -> {
+            if (a.status() == 200 || a.status() == 201) {
+                told(job.id(), asked, a);
+            } else if (a.status() != 503) {
+                broken.add("submission of " + job.id() + " answered " + a.status());
+            } else {
+                sim.after(1000, () -> offer(job));
+            }
+        }), () -> offer(job));
+    }
+
+    private void ask(java.util.function.Consumer<FrontDesk> question, Runnable otherwise) {
+        int i = sim.random.nextInt(3);
+        if (nodes[i] == null || !nodes[i].healthy()) {
+            sim.after(500, otherwise);
+        } else {
+            question.accept(nodes[i].frontDesk());
+        }
+    }
+
+    public void cancel(String id) {
+        Duration asked = sim.now();
+        ask(n -> n.cancel(id, a -> {
+            if (a.status() == 200) {
+                told(id, asked, a);
+                if (told.get(id).equals("cancelled")) {
+                    cancelled.putIfAbsent(id, sim.now());
+                }
+            } else {
+                sim.after(1000, () -> cancel(id));
+            }
+        }), () -> cancel(id));
+    }
+
+    /** Takes an answer to a question asked at some time; answers that crossed a newer one say nothing about order. */
+    private void told(String id, Duration asked, FrontDesk.Answer a) {
+        String phase = a.body().path("phase").asText();
+        String before = told.getOrDefault(id, "");
+        boolean over = before.equals("done") || before.equals("cancelled");
+        if (over && !before.equals(phase) && asked.compareTo(overAt.get(id)) > 0) {
+            broken.add("went_back: " + id + " was " + before + ", now " + phase);
+        }
+        if (!over) {
+            told.put(id, phase);
+            overAt.put(id, sim.now());
+        }
+        if (phase.equals("done") && done.getOrDefault(id, Set.of()).size() < jobs.get(id).tasks()) {
+            broken.add("not_done: " + id);
+        }
+    }
+
+    public String lastTold(String id) {
+        return told.getOrDefault(id, "");
+    }
+
+    private void watch() {
+        for (String id : jobs.keySet()) {
+            if (sim.random.nextInt(20) == 0 && told.containsKey(id)) {
+                Duration asked = sim.now();
+                ask(n -> n.poll(id, a -> {
+                    if (a.status() == 200) {
+                        told(id, asked, a);
+                    } else if (a.status() == 404) {
+                        broken.add("forgotten: " + id);
+                    }
+                }), () -> { });
+            }
+        }
+        quota();
+        sim.after(250, this::watch);
+    }
+
+    // The rules, seen from the workers
+
+    private List<WorkerStandIn.Task> live() {
+        var list = new ArrayList<WorkerStandIn.Task>();
+        workers.values().stream().filter(w -> !w.dead).forEach(w -> w.tasks().forEach(t -> {
+            if (t.onMachine()) {
+                list.add(t);
+            }
+        }));
+        return list;
+    }
+
+    private void quota() {
+        var use = new HashMap<String, Integer>();
+        for (WorkerStandIn.Task t : live()) {
+            use.merge(jobs.get(t.piece.job()).team(), 1, Integer::sum);
+            Duration c = cancelled.get(t.piece.job());
+            if (c != null && sim.now().minus(c).compareTo(CANCEL) > 0) {
+                broken.add("ran_cancelled: " + t.piece);
+            }
+        }
+        if (use.getOrDefault("red", 0) > 10 || use.getOrDefault("blue", 0) > 6) {
+            broken.add("quota: " + use);
+        }
+    }
+
+    void started(WorkerStandIn worker, WorkerStandIn.Task started) {
+        Submission job = jobs.get(started.piece.job());
+        var zones = new HashSet<String>();
+        for (WorkerStandIn.Task t : live()) {
+            if (t != started && t.piece.equals(started.piece)) {
+                broken.add("ran_twice: " + t.piece + " on " + t.host() + " and " + started.host());
+            }
+            if (t.piece.job().equals(started.piece.job())) {
+                zones.add(workers.get(t.host()).zone);
+            }
+        }
+        if ((job.sameZone() && zones.size() > 1) || (worker.spot && !job.spot())) {
+            broken.add("wrong_place: " + started.piece);
+        }
+    }
+
+    boolean isGang(PieceId piece) {
+        return jobs.get(piece.job()).gang();
+    }
+
+    private List<WorkerStandIn.Task> members(WorkerStandIn.Task one) {
+        return live().stream().filter(t -> t.piece.job().equals(one.piece.job()) && t.attempt == one.attempt).toList();
+    }
+
+    boolean gangComplete(WorkerStandIn.Task one) {
+        return members(one).stream().map(t -> t.piece.index()).distinct().count() == jobs.get(one.piece.job()).tasks();
+    }
+
+    boolean gangIntact(WorkerStandIn.Task one) {
+        return gangComplete(one);
+    }
+
+    void startGang(WorkerStandIn.Task one) {
+        Duration end = sim.now().plusSeconds(5);
+        members(one).forEach(t -> {
+            t.phase = "running";
+            t.endsAt = end;
+        });
+    }
+
+    void finished(WorkerStandIn.Task one) {
+        List<WorkerStandIn.Task> all = isGang(one.piece) ? members(one) : List.of(one);
+        all.forEach(t -> {
+            done.computeIfAbsent(t.piece.job(), j -> new HashSet<>()).add(t.piece.index());
+            t.exit("done");
+        });
+    }
+}
