--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -33,6 +33,7 @@
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(25);
     private static final Duration RETRY = Duration.ofMillis(700);
     private static final Duration REMEMBER_GONE = Duration.ofSeconds(90);
+    private static final Duration TELL_EVERY = Duration.ofSeconds(10);
     private static final int MOST_RETURNED = 100;
     private final Settings settings;
     private final Replica replica;
@@ -52,6 +53,7 @@
     private Map<String, ListedMachine> listed = Map.of();
     private Optional<Duration> leadingSince = Optional.empty();
     private Duration listAgainAt = Duration.ZERO;
+    private Duration tellAgainAt = Duration.ZERO;
     private boolean listing;
     private boolean renting;
     private boolean returning;
@@ -125,6 +127,7 @@
             listAgainAt = now;
         }
         goneAt.values().removeIf(t -> now.minus(t).compareTo(REMEMBER_GONE) > 0);
+        tellSize(now);
         list(now);
         removeGone();
         judge(now, plan);
@@ -132,6 +135,21 @@
         rent(plan);
     }
 
+    private void tellSize(Duration now) {
+        if (!LOG.isDebugEnabled() || now.compareTo(tellAgainAt) < 0) {
+            return;
+        }
+        tellAgainAt = now.plus(TELL_EVERY);
+        var counts = new java.util.TreeMap<String, Integer>();
+        for (HostRecord h : replica.hosts().values()) {
+            int claims = replica.claimsOn(h.id()).size();
+            String use = heard(h.id()).isEmpty() ? "booting" : h.leaving() ? "leaving" : claims == 0 ? "idle" : "used";
+            counts.merge((h.spot() ? "spot " : "ordinary ") + use, 1, Integer::sum);
+            counts.merge("tasks", claims, Integer::sum);
+        }
+        LOG.debug("fleet: {}", counts);
+    }
+
     private void list(Duration now) {
         if (listing || now.compareTo(listAgainAt) < 0) {
             return;
@@ -220,7 +238,8 @@
             return Optional.of("it has been silent for " + silence.toSeconds() + " s");
         }
         Duration idle = now.minus(idleSince.getOrDefault(h.id(), now));
-        return idle.compareTo(options.get().idleBeforeReturn()) > 0 ? Optional.of("it is idle") : Optional.empty();
+        Duration limitIdle = h.spot() ? options.get().idleSpotBeforeReturn() : options.get().idleBeforeReturn();
+        return idle.compareTo(limitIdle) > 0 ? Optional.of("it is idle") : Optional.empty();
     }
 
     private static Duration later(Duration a, Duration b) {
