--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -49,7 +49,6 @@
     private static final Duration PLACING_VIEW = Duration.ofSeconds(3);
     private static final Duration IMPATIENT_AFTER = Duration.ofMillis(1500);
     private static final Duration LENT_AT_LEAST = Duration.ofSeconds(10);
-    private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(5);
     private static final int RECORD_RESERVE = 1600;
     private static final int RECORD_PER_TASK = 22;
     private final Settings settings;
@@ -68,7 +67,6 @@
     private final Histogram rounds = new Histogram(60_000_000L, 2);
     private final Map<String, Duration> firstHold = new HashMap<>();
     private final Map<String, Duration> elsewhereSince = new HashMap<>();
-    private final Map<String, Duration> claimSeen = new HashMap<>();
     private final Map<String, Duration> borrowedAt = new HashMap<>();
     private Optional<List<MachineType>> catalog = Optional.empty();
     private Planner.Plan plan = new Planner.Plan(List.of(), List.of(), List.of(), Map.of(), Set.of());
@@ -340,29 +338,7 @@
                 impatient.add(job);
             }
         });
-        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, impatient, freeSoon());
-    }
-
-    /** Room of tasks that should end, by their owners' estimates, before a machine rented now would be up. */
-    private Map<String, Resources> freeSoon() {
-        Duration now = timeline.now();
-        Duration boot = catalog.orElseThrow().stream().map(MachineType::boot).min(Duration::compareTo).orElse(Duration.ZERO);
-        var soon = new HashMap<String, Resources>();
-        var seen = new HashSet<String>();
-        for (JobRecord j : replica.livingJobs()) {
-            for (Claim c : j.claims()) {
-                String key = j.id() + '/' + c.task() + '#' + c.base();
-                seen.add(key);
-                Duration elapsed = now.minus(claimSeen.computeIfAbsent(key, k -> now));
-                Duration left = j.job().estimate().plus(FETCH_ALLOWANCE).minus(elapsed);
-                Duration overdue = elapsed.dividedBy(4);
-                if ((left.compareTo(overdue) > 0 ? left : overdue).compareTo(boot) < 0) {
-                    soon.merge(c.host(), j.job().perTask(), Resources::plus);
-                }
-            }
-        }
-        claimSeen.keySet().retainAll(seen);
-        return soon;
+        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, impatient);
     }
 
     /** Commits this controller's part of the plan: one transaction per team, which the team's ledger guards. */
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -28,12 +28,9 @@
     /** A machine as the plan sees it. */
     public record Host(String id, String type, String zone, boolean spot, Resources size, boolean up, boolean mine, Set<String> images) {}
 
-    /**
-     * Everything a plan depends on; {@code freeSoon} is the room per machine whose tasks should end before a
-     * machine rented now would be up.
-     */
+    /** Everything a plan depends on. */
     public record Snapshot(Instant now, List<JobRecord> jobs, List<Host> hosts, Map<String, Settings.Team> teams, Map<String, Place> whereabouts,
-            Set<Market> refused, int mostTasksPerJob, Set<String> impatient, Map<String, Resources> freeSoon) {}
+            Set<Market> refused, int mostTasksPerJob, Set<String> impatient) {}
 
     /** Type, zone and kind, as the cloud rents them. */
     public record Market(String type, String zone, boolean spot) {}
@@ -100,7 +97,6 @@
         private final Map<String, Resources> ending = new HashMap<>();
         /** Machines promised to a gang before their room is free: nothing can be booked there yet. */
         private final Set<String> later = new HashSet<>();
-        private final Map<String, Resources> soon;
 
         private record Victim(JobRecord job, Claim claim) {}
 
@@ -108,7 +104,6 @@
             this.s = s;
             this.use = use(s.jobs());
             this.guaranteed = guaranteed(s.jobs(), s.teams());
-            this.soon = new HashMap<>(s.freeSoon());
             for (Host h : s.hosts()) {
                 hosts.put(h.id(), h);
                 room.put(h.id(), h.size());
@@ -214,10 +209,6 @@
                     if (!rentable(job, 1)) {
                         break;
                     }
-                    if (freesSoon(job, candidates, zones)) {
-                        reasons.putIfAbsent(j.id(), "waits for running tasks that should end soon");
-                        continue;
-                    }
                     waiting++;
                     pending.merge(job.team(), job.perTask(), Resources::plus);
                     continue;
@@ -283,23 +274,6 @@
             }
         }
 
-        /** Room that frees itself sooner than a new machine boots: renting would help nobody. */
-        private boolean freesSoon(Submission job, List<Host> candidates, Zones zones) {
-            for (Host h : candidates) {
-                Resources freed = soon.get(h.id());
-                if (freed == null || !zones.allows(h)) {
-                    continue;
-                }
-                Resources sum = freed.plus(room.get(h.id()));
-                if (job.perTask().fitsIn(sum)) {
-                    soon.put(h.id(), freed.minus(job.perTask()));
-                    wanted.add(h.id());
-                    return true;
-                }
-            }
-            return false;
-        }
-
         private Optional<Host> best(Submission job, List<Host> candidates, Zones zones, boolean ownOnly) {
             Host best = null;
             double bestScore = 0;
@@ -341,11 +315,7 @@
                     best = evict(j, candidates.stream().filter(zones::allows).toList());
                 }
                 if (best.isEmpty()) {
-                    if (freesSoon(job, candidates, zones)) {
-                        reasons.putIfAbsent(j.id(), "waits for running tasks that should end soon");
-                    } else {
-                        unplaced++;
-                    }
+                    unplaced++;
                     continue;
                 }
                 Host h = best.get();
