--- a/src/main/java/org/dunespindle/Main.java
+++ b/src/main/java/org/dunespindle/Main.java
@@ -20,6 +20,11 @@
         System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
         System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+        // The platform's own call is recognised before picocli is loaded: its classes are too old for the class
+        // archive and cost a seventh-of-a-core machine well over a second of every start.
+        if (args.length == 2 && args[0].equals("--config")) {
+            System.exit(serve(Path.of(args[1])));
+        }
         System.exit(new CommandLine(spec()).setExecutionStrategy(Main::execute).execute(args));
     }
 
@@ -42,6 +47,10 @@
             parsed.commandSpec().commandLine().usage(System.err);
             return BAD_SETTINGS;
         }
+        return serve(file);
+    }
+
+    private static int serve(Path file) {
         Settings settings;
         try {
             settings = Settings.load(file);
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -64,6 +64,7 @@
     private final Fleet fleet;
     private final FrontDesk frontDesk;
     private final Options options;
+    private final Headroom headroom;
     private final Histogram rounds = new Histogram(60_000_000L, 2);
     private final Map<String, Duration> firstHold = new HashMap<>();
     private final Map<String, Duration> elsewhereSince = new HashMap<>();
@@ -86,6 +87,7 @@
         this.peers = new Peers(settings, http, timeline);
         this.cloud = new CloudClient(http, settings, timeline);
         this.fleet = new Fleet(settings, replica, membership, committer, cloud, timeline, sessions, peers, () -> options, () -> catalog);
+        this.headroom = new Headroom(settings.objectives());
         this.frontDesk = new FrontDesk(settings, replica, state, committer, timeline, () -> catalog);
     }
 
@@ -263,7 +265,7 @@
     }
 
     private void change(JobRecord from, JobRecord to, Txn txn, Consumer<TxnResult> then) {
-        if (from.equals(to) || committer.isLocked(Keys.job(from.id()))) {
+        if (from == to || committer.isLocked(Keys.job(from.id()))) {
             return;
         }
         String key = Keys.job(from.id());
@@ -314,6 +316,7 @@
     private Planner.Snapshot snapshot() {
         var jobs = new ArrayList<JobRecord>();
         replica.livingJobs().forEach(jobs::add);
+        headroom.observe(jobs);
         var hosts = new ArrayList<Planner.Host>();
         var places = new HashMap<String, Planner.Place>();
         for (HostRecord h : replica.hosts().values()) {
@@ -338,7 +341,7 @@
                 impatient.add(job);
             }
         });
-        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, impatient);
+        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, impatient, headroom.phantoms());
     }
 
     /** Commits this controller's part of the plan: one transaction per team, which the team's ledger guards. */
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -30,7 +30,7 @@
 
     /** Everything a plan depends on. */
     public record Snapshot(Instant now, List<JobRecord> jobs, List<Host> hosts, Map<String, Settings.Team> teams, Map<String, Place> whereabouts,
-            Set<Market> refused, int mostTasksPerJob, Set<String> impatient) {}
+            Set<Market> refused, int mostTasksPerJob, Set<String> impatient, List<JobRecord> phantoms) {}
 
     /** Type, zone and kind, as the cloud rents them. */
     public record Market(String type, String zone, boolean spot) {}
@@ -80,6 +80,7 @@
 
     private static final class Work {
         private static final int MOST_COUNTED = 64;
+        private static final int FETCH_COST = 4;
         private final Snapshot s;
         private final Map<String, Host> hosts = new TreeMap<>();
         private final Map<String, Resources> room = new HashMap<>();
@@ -145,9 +146,30 @@
                     array(j);
                 }
             }
+            s.phantoms().forEach(this::spare);
             return new Plan(bookings, evictions, shortfalls, reasons, wanted);
         }
 
+        /** Keeps or asks for room for a job that has not come yet; it is wanted, but nothing is booked or evicted. */
+        private void spare(JobRecord phantom) {
+            var zones = new Zones(phantom);
+            var candidates = candidates(phantom.job(), h -> true);
+            int missing = 0;
+            for (int i = 0; i < phantom.job().tasks(); i++) {
+                Optional<Host> best = best(phantom.job(), candidates, zones, false);
+                if (best.isEmpty()) {
+                    missing++;
+                } else {
+                    room.merge(best.get().id(), phantom.job().perTask(), Resources::minus);
+                    wanted.add(best.get().id());
+                    zones.add(best.get().zone());
+                }
+            }
+            if (missing > 0) {
+                shortfalls.add(new Shortfall(phantom, missing, zones.only));
+            }
+        }
+
         /** A gang whose placeholders are being placed stays the head; otherwise arrival order decides. */
         private static boolean earlier(JobRecord a, JobRecord b) {
             boolean holdA = a.mode() == JobRecord.Mode.HOLD;
@@ -290,11 +312,11 @@
             return Optional.ofNullable(best);
         }
 
-        /** Up before booting, a fetched image before cheapness, cheap kinds before dear ones, full before empty. */
+        /** Up before booting, a fetched image before a cheap kind, cheap kinds before dear ones, full before empty. */
         private double score(Submission job, Host h) {
             Resources free = room.get(h.id());
             double fill = h.size().gpus() > 0 ? 1 - free.gpus() / h.size().gpus() : 1 - free.cpus() / Math.max(1e-9, h.size().cpus());
-            return (h.up() ? 8 : 0) + (h.spot() && job.spot() ? 3 : 0) + (h.images().contains(job.image()) ? 2 : 0) + fill;
+            return (h.up() ? 8 : 0) + (h.spot() && job.spot() ? 2 : 0) + (h.images().contains(job.image()) ? 3 : 0) + fill;
         }
 
         private void gang(JobRecord j) {
@@ -375,10 +397,11 @@
             return v.job().job().priority().compareTo(job.priority()) < 0;
         }
 
-        /** The machine where the fewest lower tasks have to give way. */
+        /** The machine where the fewest lower tasks have to give way; a fetch counts as some more of them. */
         private Optional<Host> evict(JobRecord j, List<Host> open) {
             Host best = null;
             List<Victim> bestVictims = List.of();
+            int bestCost = 0;
             for (Host h : open) {
                 Resources free = room.get(h.id()).plus(ending.getOrDefault(h.id(), Resources.NONE));
                 var chosen = new ArrayList<Victim>();
@@ -388,7 +411,9 @@
                         free = free.plus(v.job().job().perTask());
                     }
                 }
-                if (j.job().perTask().fitsIn(free) && (best == null || chosen.size() < bestVictims.size())) {
+                int cost = chosen.size() + (h.images().contains(j.job().image()) ? 0 : FETCH_COST);
+                if (j.job().perTask().fitsIn(free) && (best == null || cost < bestCost)) {
+                    bestCost = cost;
                     best = h;
                     bestVictims = chosen;
                 }
