--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -215,7 +215,15 @@
         if (replica.age().compareTo(PLACING_VIEW) > 0 || catalog.isEmpty()) {
             return; // an outage: what runs goes on, nothing new is placed
         }
+        Planner.Plan before = plan;
         plan = Planner.plan(snapshot());
+        if (LOG.isDebugEnabled() && membership.leads()) {
+            plan.reasons().forEach((job, why) -> {
+                if (!why.equals(before.reasons().get(job))) {
+                    LOG.debug("{} waits: {}", job, why);
+                }
+            });
+        }
         place();
         if (membership.leads()) {
             evict();
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.dunespindle.bookkeeping.HostRecord;
+import org.dunespindle.bookkeeping.JobRecord;
 import org.dunespindle.bookkeeping.Keys;
 import org.dunespindle.bookkeeping.Replica;
 import org.dunespindle.bookkeeping.Timeline;
@@ -34,6 +35,8 @@
     private static final Duration RETRY = Duration.ofMillis(700);
     private static final Duration REMEMBER_GONE = Duration.ofSeconds(90);
     private static final Duration TELL_EVERY = Duration.ofSeconds(10);
+    private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(12);
+    private static final int MOST_SLOTS = 128;
     private static final int MOST_RETURNED = 100;
     private final Settings settings;
     private final Replica replica;
@@ -303,8 +306,13 @@
         var needs = new LinkedHashMap<Planner.Market, Integer>();
         record Extra(Planner.Market market, Resources[] room) {}
         var extras = new ArrayList<Extra>();
+        Duration queued = runningWork();
         for (Planner.Shortfall gap : plan.shortfalls()) {
             List<Planner.Market> markets = markets(gap);
+            if (!gap.job().job().gang()) {
+                queued = queued.plus(gap.job().job().estimate().multipliedBy(gap.tasks()));
+                keepCheapestIfInTime(gap, markets, queued);
+            }
             int left = gap.tasks();
             Optional<String> zone = gap.zone();
             for (int i = 0; i < gap.tasks() && left > 0; i++) {
@@ -335,6 +343,47 @@
         return needs;
     }
 
+    /** What is left of running array tasks, by estimate: half of each on average. */
+    private Duration runningWork() {
+        Duration sum = Duration.ZERO;
+        for (JobRecord j : replica.livingJobs()) {
+            if (j.open() && !j.job().gang()) {
+                sum = sum.plus(j.job().estimate().multipliedBy(j.claims().size()).dividedBy(2));
+            }
+        }
+        return sum;
+    }
+
+    /** Work that ends in time even if it queues for the cheapest kind is not worth a dear machine. */
+    private void keepCheapestIfInTime(Planner.Shortfall gap, List<Planner.Market> markets, Duration queued) {
+        var job = gap.job().job();
+        Optional<Duration> target = job.due().or(() -> settings.objectives().stream().filter(o -> o.kind().equals("finished") && o.jobClass().equals(job.jobClass()))
+                .map(Settings.Objective::within).min(Comparator.naturalOrder()));
+        int slots = 0;
+        for (HostRecord h : replica.hosts().values()) {
+            if (h.spot() == job.spot() && !h.leaving() && job.types().map(t -> t.contains(h.type())).orElse(true)) {
+                slots += fits(job.perTask(), h.type());
+            }
+        }
+        if (target.isEmpty() || slots == 0) {
+            return;
+        }
+        Duration end = Duration.between(gap.job().arrived(), timeline.wallTime()).plus(queued.dividedBy(slots)).plus(job.estimate().multipliedBy(4).dividedBy(3)).plus(FETCH_ALLOWANCE);
+        if (end.compareTo(target.get().multipliedBy(4).dividedBy(5)) < 0) {
+            double cheapest = catalog.get().orElse(List.of()).stream().filter(t -> job.types().map(a -> a.contains(t.name())).orElse(true)).mapToDouble(t -> t.price(job.spot())).min().orElse(0);
+            markets.removeIf(m -> type(m.type()).price(m.spot()) > cheapest * 1.2);
+        }
+    }
+
+    private int fits(Resources one, String typeName) {
+        Resources size = catalog.get().orElse(List.of()).stream().filter(t -> t.name().equals(typeName)).findFirst().map(MachineType::size).orElse(Resources.NONE);
+        int n = 0;
+        while (n < MOST_SLOTS && one.times(n + 1).fitsIn(size)) {
+            n++;
+        }
+        return n;
+    }
+
     private MachineType type(String name) {
         return catalog.get().orElseThrow().stream().filter(t -> t.name().equals(name)).findFirst().orElseThrow();
     }
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -411,7 +411,8 @@
                         free = free.plus(v.job().job().perTask());
                     }
                 }
-                int cost = chosen.size() + (h.images().contains(j.job().image()) ? 0 : FETCH_COST);
+                // Tasks already being stopped cost nothing more; a second machine must not be emptied beside them.
+                int cost = chosen.isEmpty() ? -1 : chosen.size() + (h.images().contains(j.job().image()) ? 0 : FETCH_COST);
                 if (j.job().perTask().fitsIn(free) && (best == null || cost < bestCost)) {
                     bestCost = cost;
                     best = h;
