Plan by priority, then guarantee; give way by priority

Cause: guaranteed low arrays were planned before urgent gangs but could be evicted by them, so they took the freed room back and the gang evicted again.

--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -130,7 +130,7 @@
             }
             var ordered = new ArrayList<>(s.jobs());
             ordered.removeIf(j -> !j.open() || j.unplacedCount() == 0);
-            ordered.sort(Comparator.comparing((JobRecord j) -> !guaranteed.contains(j.id())).thenComparing(j -> j.job().priority(), Comparator.reverseOrder())
+            ordered.sort(Comparator.comparing((JobRecord j) -> j.job().priority(), Comparator.reverseOrder()).thenComparing(j -> !guaranteed.contains(j.id()))
                     .thenComparing(this::urgency).thenComparing(JobRecord::id));
             for (JobRecord j : ordered) {
                 if (j.notBefore().isPresent() && j.notBefore().get().isAfter(s.now())) {
@@ -280,7 +280,7 @@
                 }
                 only = job.zone();
                 if (job.sameZone() && only.isEmpty()) {
-                    only = taken.isEmpty() ? zoneFor(job, Math.min(MOST_COUNTED, j.unplacedCount())) : taken.keySet().stream().findFirst();
+                    only = taken.isEmpty() ? zoneFor(j, Math.min(MOST_COUNTED, j.unplacedCount())) : taken.keySet().stream().findFirst();
                 }
             }
 
@@ -362,11 +362,12 @@
         }
 
         /** The zone with most room for the gang now, then with most soon, then one that still rents. */
-        private Optional<String> zoneFor(Submission job, int missing) {
+        private Optional<String> zoneFor(JobRecord j, int missing) {
+            Submission job = j.job();
             var scores = new TreeMap<String, Double>();
             for (Host h : candidates(job, x -> true)) {
                 int fits = fitCount(job.perTask(), room.get(h.id()), missing);
-                int emptied = fitCount(job.perTask(), withVictims(h, job), missing);
+                int emptied = fitCount(job.perTask(), withVictims(h, j), missing);
                 scores.merge(h.zone(), (h.up() ? 3.0 : 1.5) * fits + Math.max(0, emptied - fits) + (h.images().contains(job.image()) ? 0.2 * fits : 0), Double::sum);
             }
             for (Market m : s.refused()) {
@@ -375,10 +376,10 @@
             return scores.entrySet().stream().filter(e -> e.getValue() > 0).max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
         }
 
-        private Resources withVictims(Host h, Submission job) {
+        private Resources withVictims(Host h, JobRecord j) {
             Resources r = room.get(h.id());
             for (Victim v : victims.getOrDefault(h.id(), List.of())) {
-                if (mayEvict(job, v)) {
+                if (mayEvict(j, v)) {
                     r = r.plus(v.job().job().perTask());
                 }
             }
@@ -393,8 +394,12 @@
             return n;
         }
 
-        private static boolean mayEvict(Submission job, Victim v) {
-            return v.job().job().priority().compareTo(job.priority()) < 0;
+        /**
+         * Only work that would be planned after the job may give way to it: otherwise it would take the freed room
+         * back at once, and the job would evict again and again.
+         */
+        private boolean mayEvict(JobRecord j, Victim v) {
+            return v.job().job().priority().compareTo(j.job().priority()) < 0;
         }
 
         /** The machine where the fewest lower tasks have to give way; a fetch counts as some more of them. */
@@ -406,7 +411,7 @@
                 Resources free = room.get(h.id()).plus(ending.getOrDefault(h.id(), Resources.NONE));
                 var chosen = new ArrayList<Victim>();
                 for (Victim v : victims.getOrDefault(h.id(), List.of())) {
-                    if (!j.job().perTask().fitsIn(free) && mayEvict(j.job(), v)) {
+                    if (!j.job().perTask().fitsIn(free) && mayEvict(j, v)) {
                         chosen.add(v);
                         free = free.plus(v.job().job().perTask());
                     }
