--- a/src/main/java/org/dunespindle/Main.java
+++ b/src/main/java/org/dunespindle/Main.java
@@ -18,6 +18,8 @@
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
         System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
+        // Netty would search the network interfaces for a name that nothing here needs.
+        System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
         System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
         // The platform's own call is recognised before picocli is loaded: its classes are too old for the class
