--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -122,9 +122,11 @@
         }
 
         Plan run() {
+            // A gang whose placeholders are all booked has left placement: its whole ask counts as use by then.
+            // A gang of one never holds partial room, so it does not queue for placement either.
             var heads = new HashMap<String, JobRecord>();
             for (JobRecord j : s.jobs()) {
-                if (j.open() && j.job().gang() && (j.mode() == JobRecord.Mode.IDLE || j.mode() == JobRecord.Mode.HOLD)) {
+                if (j.open() && j.job().gang() && j.job().tasks() > 1 && j.unplacedCount() > 0) {
                     heads.merge(j.job().team(), j, (a, b) -> earlier(a, b) ? a : b);
                 }
             }
@@ -137,7 +139,8 @@
                     reasons.put(j.id(), "its tasks fail or were refused; tried again at " + j.notBefore().get());
                 } else if (j.job().gang()) {
                     JobRecord head = heads.get(j.job().team());
-                    if (head == j) {
+                    boolean single = j.job().tasks() == 1 && (head == null || teamAllows(head.job(), head.unplacedCount()) || earlier(j, head));
+                    if (head == j || single) {
                         gang(j);
                     } else {
                         reasons.put(j.id(), "behind gang " + head.id() + " of its team");
