--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -84,7 +84,7 @@
         this.membership = new Membership(settings.nodeName(), state, replica, timeline);
         this.committer = new Committer(state, replica, settings.state().txnOps(), this::wake);
         this.hostDesk = new HostDesk(settings, replica, membership, committer, http, timeline, sessions, this::wake);
-        this.peers = new Peers(settings, http, timeline);
+        this.peers = new Peers(settings, http, timeline, (host, image) -> sessions.of(host).fetched(image));
         this.cloud = new CloudClient(http, settings, timeline);
         this.fleet = new Fleet(settings, replica, membership, committer, cloud, timeline, sessions, peers, () -> options, () -> catalog);
         this.headroom = new Headroom(settings.objectives());
@@ -338,8 +338,7 @@
             boolean up = mine ? takesTasks(h) : word.filter(w -> w.ready().contains(h.id())).isPresent();
             boolean heard = fleet.heard(h.id()).isPresent();
             if (up || (!heard && fleet.bootsInTime(h))) {
-                Set<String> images = mine ? sessions.of(h.id()).images() : word.map(w -> w.images().getOrDefault(h.id(), Set.of())).orElse(Set.of());
-                hosts.add(new Planner.Host(h.id(), h.type(), h.zone(), h.spot(), type.get().size(), up, mine, Set.copyOf(images)));
+                hosts.add(new Planner.Host(h.id(), h.type(), h.zone(), h.spot(), type.get().size(), up, mine, Set.copyOf(sessions.of(h.id()).images())));
             }
         }
         int most = Math.max(8, (settings.state().valueBytes() - RECORD_RESERVE) / RECORD_PER_TASK);
@@ -420,6 +419,11 @@
             use = after;
             txn.guard(Keys.job(b.job().id()), replica.stamp(Keys.job(b.job().id()))).write(Keys.job(b.job().id()), node);
             b.places().values().forEach(h -> guardHost(txn, h));
+            if (LOG.isDebugEnabled()) {
+                long cached = b.places().values().stream().filter(h -> sessions.of(h).images().contains(b.job().job().image())).count();
+                LOG.debug("{} ({}) is placed on {}, {} with its image, {} ms after it came", b.job().id(), b.job().job().jobClass(), b.places().values(), cached,
+                        Duration.between(b.job().arrived(), timeline.wallTime()).toMillis());
+            }
             if (b.job().job().gang()) {
                 guardLeader(txn);
                 firstHold.putIfAbsent(b.job().id(), timeline.now());
--- a/src/main/java/org/dunespindle/coordination/Headroom.java
+++ b/src/main/java/org/dunespindle/coordination/Headroom.java
@@ -44,6 +44,13 @@
         seen.retainAll(present);
     }
 
+    /** The image most jobs of the class want: machines that have it are worth keeping. */
+    private static String common(ArrayDeque<Submission> jobs) {
+        var counts = new LinkedHashMap<String, Integer>();
+        jobs.forEach(j -> counts.merge(j.image(), 1, Integer::sum));
+        return counts.entrySet().stream().max(Map.Entry.comparingByValue()).orElseThrow().getKey();
+    }
+
     /** One job of median size per class, as a record that nothing stores. */
     public List<JobRecord> phantoms() {
         var list = new ArrayList<JobRecord>();
@@ -51,7 +58,7 @@
             int[] sizes = jobs.stream().mapToInt(Submission::tasks).sorted().toArray();
             Submission s = jobs.getLast();
             var typical = new Submission("~" + name, name, s.team(), s.shape(), s.priority(), sizes[sizes.length / 2], s.perTask(), s.types(), Optional.empty(), s.sameZone(), s.spread(),
-                    s.spot(), "", 0, s.estimate(), Duration.ZERO, Duration.ZERO, Optional.empty());
+                    s.spot(), common(jobs), 0, s.estimate(), Duration.ZERO, Duration.ZERO, Optional.empty());
             list.add(JobRecord.accepted(typical, Instant.EPOCH));
         });
         return list;
--- a/src/main/java/org/dunespindle/coordination/Peers.java
+++ b/src/main/java/org/dunespindle/coordination/Peers.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.dunespindle.bookkeeping.Timeline;
 import org.dunespindle.protocol.Settings;
@@ -27,12 +28,15 @@
     private final Settings settings;
     private final Caller http;
     private final Timeline timeline;
+    /** Told of machine and image: what a machine has fetched outlives the change of its owner. */
+    private final BiConsumer<String, String> imageSeen;
     private final Map<String, Word> words = new HashMap<>();
 
     /** The last word of a controller. */
-    public record Word(Duration at, Set<String> ready, Map<String, Set<String>> images, Map<String, Duration> heardAt, Set<String> bad, Duration viewAge) {}
+    public record Word(Duration at, Set<String> ready, Map<String, Duration> heardAt, Set<String> bad, Duration viewAge) {}
 
-    public Peers(Settings settings, Caller http, Timeline timeline) {
+    public Peers(Settings settings, Caller http, Timeline timeline, BiConsumer<String, String> imageSeen) {
+        this.imageSeen = imageSeen;
         this.settings = settings;
         this.http = http;
         this.timeline = timeline;
@@ -68,17 +72,12 @@
             Duration now = timeline.now();
             var ready = new HashSet<String>();
             n.path("ready").forEach(h -> ready.add(h.asText()));
-            var images = new HashMap<String, Set<String>>();
-            n.path("images").fields().forEachRemaining(f -> {
-                var set = new HashSet<String>();
-                f.getValue().forEach(i -> set.add(i.asText()));
-                images.put(f.getKey(), set);
-            });
+            n.path("images").fields().forEachRemaining(f -> f.getValue().forEach(i -> imageSeen.accept(f.getKey(), i.asText())));
             var heard = new HashMap<String, Duration>();
             n.path("heardMs").fields().forEachRemaining(f -> heard.put(f.getKey(), now.minus(Duration.ofMillis(f.getValue().asLong()))));
             var bad = new HashSet<String>();
             n.path("bad").forEach(h -> bad.add(h.asText()));
-            words.put(n.path("node").asText(), new Word(now, ready, images, heard, bad, Duration.ofMillis(n.path("viewAgeMs").asLong())));
+            words.put(n.path("node").asText(), new Word(now, ready, heard, bad, Duration.ofMillis(n.path("viewAgeMs").asLong())));
         } catch (IOException e) {
             // counts as no word
         }
--- a/src/main/java/org/dunespindle/coordination/Sessions.java
+++ b/src/main/java/org/dunespindle/coordination/Sessions.java
@@ -41,7 +41,7 @@
 
         void fetched(String image) {
             images.remove(image);
-            images.put(image, true);
+            images.put(image, true); // now the latest
             if (images.size() > REMEMBERED_IMAGES) {
                 images.remove(images.keySet().iterator().next());
             }
