--- /dev/null
+++ b/src/test/java/org/dunespindle/bookkeeping/JobRecordTest.java
@@ -0,0 +1,133 @@
+package org.dunespindle.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import it.unimi.dsi.fastutil.ints.IntRBTreeSet;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.protocol.Submission;
+import org.junit.jupiter.api.Test;
+
+/** Job records under generated orders of placement, release and failure. */
+class JobRecordTest {
+    private static JobRecord job(Shape shape, int tasks) {
+        return JobRecord.accepted(new Submission("wk-000001", "c", "t", shape, Priority.LOW, tasks, new Resources(1, 1, 1), Optional.empty(), Optional.empty(), false, false, false, "i", 1,
+                Duration.ofSeconds(1), Duration.ZERO, Duration.ZERO, Optional.empty()), Instant.ofEpochMilli(1000));
+    }
+
+    @Property(seed = "11", tries = 150)
+    void everyArrayTaskEndsDoneExactlyOnce(@ForAll long seed) throws MalformedException {
+        var random = new Random(seed);
+        int tasks = 1 + random.nextInt(40);
+        JobRecord j = job(Shape.ARRAY, tasks);
+        Set<Integer> done = new HashSet<>();
+        var attempts = new HashMap<Integer, Set<Long>>();
+        for (int step = 0; step < 5000 && j.open(); step++) {
+            if (random.nextBoolean() && j.unplacedCount() > 0) {
+                var places = new LinkedHashMap<Integer, String>();
+                for (int t : j.unplaced(1 + random.nextInt(5))) {
+                    if (random.nextInt(4) > 0) {
+                        places.put(t, "h" + random.nextInt(3));
+                    }
+                }
+                if (!places.isEmpty()) {
+                    j = j.placed(places);
+                }
+                for (Claim c : j.claims()) {
+                    if (places.containsKey(c.task())) {
+                        assertTrue(attempts.computeIfAbsent(c.task(), t -> new HashSet<>()).add(c.base()), "an attempt was used twice");
+                    }
+                }
+            } else if (!j.claims().isEmpty()) {
+                Claim c = j.claims().get(random.nextInt(j.claims().size()));
+                boolean good = random.nextInt(3) > 0;
+                if (good) {
+                    assertTrue(done.add(c.task()), "done twice");
+                }
+                j = j.released(c.task(), good);
+            }
+            j = JobRecord.parse(j.id(), Pack.read(Pack.write(j.toNode())));
+            assertEquals(done.size(), j.doneCount());
+        }
+        assertEquals(JobRecord.End.DONE, j.end());
+        assertEquals(tasks, done.size());
+        assertTrue(j.spec().isEmpty(), "a finished job keeps only its end");
+    }
+
+    @Test
+    void tasksPassedOverAreNotCountedAsDone() {
+        JobRecord j = job(Shape.ARRAY, 5).placed(new LinkedHashMap<>(java.util.Map.of(3, "h")));
+        assertEquals(0, j.doneCount());
+        assertEquals(List.of(0, 1, 2, 4), new IntArrayList(new IntRBTreeSet(j.unplaced(10))));
+    }
+
+    @Test
+    void placeholdersOfAGangNeverShareAnAttempt() {
+        JobRecord j = job(Shape.GANG, 3).placed(new LinkedHashMap<>(java.util.Map.of(0, "a", 1, "b", 2, "c")));
+        var attempts = new HashSet<Long>();
+        j.claims().forEach(c -> attempts.add(c.base() + c.task()));
+        assertEquals(3, attempts.size());
+        JobRecord again = j.rebooked(1);
+        assertEquals(List.of("a", "b", "c"), again.claims().stream().map(Claim::host).toList());
+        long before = j.wantedAttempt(j.claim(1).orElseThrow());
+        long after = again.wantedAttempt(again.claim(1).orElseThrow());
+        assertTrue(after > before && !attempts.contains(after));
+        JobRecord real = again.real();
+        assertEquals(1, real.claims().stream().map(real::wantedAttempt).distinct().count());
+        assertTrue(real.attempt() > after, "the common attempt is new");
+    }
+
+    @Test
+    void aServiceNeverCompletesByItself() {
+        JobRecord j = job(Shape.SERVICE, 1).placed(new LinkedHashMap<>(java.util.Map.of(0, "h"))).released(0, true);
+        assertTrue(j.open());
+        assertEquals(1, j.unplacedCount());
+    }
+
+    @Test
+    void aCancelledJobKeepsItsClaimsUntilTheyAreReleased() {
+        JobRecord j = job(Shape.ARRAY, 2).placed(new LinkedHashMap<>(java.util.Map.of(0, "h", 1, "h"))).cancelled();
+        assertEquals(2, j.claims().size());
+        assertEquals(0, j.unplacedCount());
+        j = j.released(0, false).released(1, true);
+        assertEquals(JobRecord.End.CANCELLED, j.end());
+        assertTrue(j.spec().isEmpty());
+    }
+
+    @Test
+    void recordsOfHugeArraysStaySmall() {
+        JobRecord j = job(Shape.ARRAY, Submission.MOST_TASKS);
+        var places = new LinkedHashMap<Integer, String>();
+        for (int i = 0; i < 250; i++) {
+            places.put(i, "i-%06d".formatted(i % 30));
+        }
+        assertTrue(Pack.countedSize(j.placed(places).toNode()) < 8 << 10);
+    }
+
+    @Property(seed = "12", tries = 100)
+    void setsOfTasksSurvive(@ForAll long seed) {
+        var random = new Random(seed);
+        var set = new IntRBTreeSet();
+        for (int i = 0; i < random.nextInt(60); i++) {
+            set.add(random.nextInt(100));
+        }
+        var sorted = new IntArrayList(set);
+        assertEquals(sorted, TaskSet.parse(TaskSet.format(sorted)));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dunespindle/coordination/PlannerTest.java
@@ -0,0 +1,131 @@
+package org.dunespindle.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.dunespindle.bookkeeping.JobRecord;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.protocol.Submission;
+import org.junit.jupiter.api.Test;
+
+/** Decisions as a pure function of a snapshot. */
+class PlannerTest {
+    private static final Map<String, Settings.Team> TEAMS = Map.of("red", new Settings.Team("red", 0, Double.POSITIVE_INFINITY, 4, 6), "blue", new Settings.Team("blue", 0, Double.POSITIVE_INFINITY, 2, 9));
+
+    private static JobRecord job(int id, String team, Shape shape, Priority priority, int tasks, boolean sameZone, boolean spread, boolean spot) {
+        return JobRecord.accepted(new Submission("wk-%06d".formatted(id), "c", team, shape, priority, tasks, new Resources(1, 1, 1), Optional.empty(), Optional.empty(), sameZone, spread, spot, "i", 1,
+                Duration.ofSeconds(10), Duration.ZERO, Duration.ZERO, Optional.empty()), Instant.ofEpochSecond(id));
+    }
+
+    private static Planner.Host host(String id, String zone, boolean spot, int gpus) {
+        return new Planner.Host(id, "m", zone, spot, new Resources(8, gpus, 8), true, true, Set.of());
+    }
+
+    private static Planner.Plan plan(List<JobRecord> jobs, List<Planner.Host> hosts) {
+        var places = new HashMap<String, Planner.Place>();
+        hosts.forEach(h -> places.put(h.id(), new Planner.Place(h.type(), h.zone(), h.spot())));
+        return Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), jobs, hosts, TEAMS, places, Set.of(), 100, Set.of(), List.of()));
+    }
+
+    @Property(seed = "21", tries = 200)
+    void noPlanBreaksARule(@ForAll long seed) {
+        var random = new Random(seed);
+        var jobs = new ArrayList<JobRecord>();
+        for (int i = 0; i < 8; i++) {
+            boolean sameZone = random.nextBoolean();
+            jobs.add(job(i, random.nextBoolean() ? "red" : "blue", random.nextBoolean() ? Shape.GANG : Shape.ARRAY, Priority.values()[random.nextInt(4)], 1 + random.nextInt(5), sameZone,
+                    !sameZone && random.nextBoolean(), random.nextBoolean()));
+        }
+        var hosts = new ArrayList<Planner.Host>();
+        for (int i = 0; i < 5; i++) {
+            hosts.add(host("h" + i, random.nextBoolean() ? "east" : "west", random.nextBoolean(), 1 + random.nextInt(3)));
+        }
+        for (int round = 0; round < 4; round++) {
+            Planner.Plan plan = plan(jobs, hosts);
+            var byId = new LinkedHashMap<String, JobRecord>();
+            jobs.forEach(j -> byId.put(j.id(), j));
+            plan.bookings().forEach(b -> byId.put(b.job().id(), b.job().placed(b.places())));
+            plan.evictions().forEach(e -> byId.computeIfPresent(e.victim().id(), (id, j) -> j.released(e.claim().task(), false)));
+            jobs.clear();
+            jobs.addAll(byId.values());
+            check(jobs, hosts);
+        }
+    }
+
+    private static void check(List<JobRecord> jobs, List<Planner.Host> hosts) {
+        Planner.use(jobs).forEach((team, use) -> assertTrue(TEAMS.get(team).withinLimit(use), team + " uses " + use));
+        var room = new HashMap<String, Integer>();
+        for (JobRecord j : jobs) {
+            var zones = new HashMap<String, Integer>();
+            j.claims().forEach(c -> {
+                Planner.Host h = hosts.stream().filter(x -> x.id().equals(c.host())).findFirst().orElseThrow();
+                room.merge(h.id(), 1, Integer::sum);
+                zones.merge(h.zone(), 1, Integer::sum);
+                assertTrue(j.job().spot() || !h.spot(), "spot not allowed");
+            });
+            assertTrue(!j.job().sameZone() || zones.size() <= 1, "one zone");
+            assertTrue(!j.job().spread() || zones.values().stream().allMatch(n -> n <= (j.job().tasks() + 1) / 2), "apart");
+        }
+        hosts.forEach(h -> assertTrue(room.getOrDefault(h.id(), 0) <= h.size().gpus(), "room on " + h.id()));
+    }
+
+    @Test
+    void noPlaceholderBeforeTheLimitCoversTheWholeGang() {
+        JobRecord running = job(1, "red", Shape.ARRAY, Priority.URGENT, 3, false, false, true);
+        running = running.placed(new LinkedHashMap<>(Map.of(0, "a", 1, "a", 2, "a")));
+        Planner.Plan plan = plan(List.of(running, job(2, "red", Shape.GANG, Priority.URGENT, 4, false, false, true)), List.of(host("a", "east", false, 8)));
+        assertEquals(List.of(), plan.bookings());
+        assertTrue(plan.reasons().get("wk-000002").contains("limit"));
+    }
+
+    @Test
+    void oneGangPerTeamIsInPlacementAndOthersGoOn() {
+        Planner.Plan plan = plan(List.of(job(1, "blue", Shape.GANG, Priority.NORMAL, 4, false, false, true), job(2, "blue", Shape.GANG, Priority.URGENT, 2, false, false, true),
+                job(3, "red", Shape.GANG, Priority.URGENT, 2, false, false, true), job(4, "blue", Shape.ARRAY, Priority.LOW, 1, false, false, true)), List.of(host("a", "east", false, 4)));
+        assertTrue(plan.reasons().get("wk-000002").contains("behind gang wk-000001"));
+        assertEquals(List.of("wk-000003", "wk-000001"), plan.bookings().stream().map(b -> b.job().id()).toList());
+    }
+
+    @Test
+    void aFullyBookedGangAndGangsOfOneDoNotHoldUpTheQueue() {
+        JobRecord booked = job(1, "blue", Shape.GANG, Priority.URGENT, 2, false, false, true).placed(new LinkedHashMap<>(Map.of(0, "a", 1, "a")));
+        Planner.Plan plan = plan(List.of(booked, job(2, "blue", Shape.GANG, Priority.URGENT, 2, false, false, true), job(3, "blue", Shape.GANG, Priority.URGENT, 1, false, false, true)),
+                List.of(host("a", "east", false, 5)));
+        assertEquals(List.of("wk-000002", "wk-000003"), plan.bookings().stream().map(b -> b.job().id()).toList());
+    }
+
+    @Test
+    void lowerWorkGivesWayOnOneMachineOnly() {
+        JobRecord low = job(1, "blue", Shape.ARRAY, Priority.LOW, 4, false, false, true).placed(new LinkedHashMap<>(Map.of(0, "a", 1, "a", 2, "b", 3, "b")));
+        var hosts = List.of(host("a", "east", false, 2), host("b", "east", false, 2));
+        JobRecord gang = job(2, "red", Shape.GANG, Priority.URGENT, 1, false, false, true);
+        Planner.Plan plan = plan(List.of(low, gang), hosts);
+        assertEquals(1, plan.evictions().size());
+        // While the stopped task has not left, nothing else is emptied for the same gang.
+        JobRecord stopping = low.stopTask(plan.evictions().get(0).claim().task());
+        assertEquals(List.of(), plan(List.of(stopping, gang), hosts).evictions());
+    }
+
+    @Test
+    void equalPriorityNeverGivesWay() {
+        JobRecord other = job(1, "blue", Shape.ARRAY, Priority.URGENT, 2, false, false, true).placed(new LinkedHashMap<>(Map.of(0, "a", 1, "a")));
+        Planner.Plan plan = plan(List.of(other, job(2, "red", Shape.GANG, Priority.URGENT, 1, false, false, true)), List.of(host("a", "east", false, 2)));
+        assertEquals(List.of(), plan.evictions());
+        assertEquals(1, plan.shortfalls().size());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dunespindle/coordination/ReconcilerTest.java
@@ -0,0 +1,134 @@
+package org.dunespindle.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.dunespindle.bookkeeping.JobRecord;
+import org.dunespindle.bookkeeping.Replica.Placed;
+import org.dunespindle.protocol.ExitCause;
+import org.dunespindle.protocol.Order;
+import org.dunespindle.protocol.PieceId;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.protocol.Submission;
+import org.dunespindle.protocol.TaskPhase;
+import org.dunespindle.protocol.TaskStatus;
+import org.dunespindle.protocol.WorkerReport;
+import org.junit.jupiter.api.Test;
+
+/** What is ordered and concluded from a report that is proof. */
+class ReconcilerTest {
+    private static final PieceId FIRST = new PieceId("wk-000001", 0);
+
+    private static JobRecord job(Shape shape, int tasks, Duration saves) {
+        return JobRecord.accepted(new Submission("wk-000001", "c", "t", shape, Priority.URGENT, tasks, new Resources(1, 1, 1), Optional.empty(), Optional.empty(), false, false, false, "i", 1,
+                Duration.ofSeconds(1), saves, Duration.ofSeconds(4), Optional.empty()), Instant.EPOCH);
+    }
+
+    private static JobRecord held() {
+        return job(Shape.GANG, 2, Duration.ZERO).placed(new LinkedHashMap<>(Map.of(0, "h", 1, "k")));
+    }
+
+    private static Reconciler.Verdict judge(JobRecord j, TaskStatus... tasks) {
+        List<Placed> claims = j.claims().stream().filter(c -> c.host().equals("h")).map(c -> new Placed(j, c)).toList();
+        return Reconciler.judge(claims, new WorkerReport("h", "a:1", "m", "z", false, 1, 1, 1, Optional.empty(), List.of(tasks)));
+    }
+
+    private static TaskStatus status(long attempt, TaskPhase phase) {
+        return new TaskStatus(FIRST, attempt, phase, Optional.empty(), false);
+    }
+
+    private static TaskStatus exited(long attempt, ExitCause cause) {
+        return new TaskStatus(FIRST, attempt, TaskPhase.EXITED, Optional.of(cause), false);
+    }
+
+    private static long placeholder(JobRecord j) {
+        return j.claim(0).orElseThrow().base();
+    }
+
+    @Test
+    void aRealTaskWaitsForTheConfirmedReleaseOfItsPlaceholder() {
+        JobRecord real = held().real();
+        assertEquals(List.of(new Order.Halt(FIRST, placeholder(real), Duration.ZERO)), judge(real, status(placeholder(real), TaskPhase.ASSEMBLING)).orders());
+        var confirmed = judge(real, exited(placeholder(real), ExitCause.STOPPED)).orders();
+        assertTrue(confirmed.contains(new Order.Run(FIRST, real.attempt())));
+        assertTrue(confirmed.contains(new Order.Forget(FIRST, placeholder(real))));
+    }
+
+    @Test
+    void aPlaceholderThatWaitedInVainIsBookedAgain() {
+        JobRecord j = held();
+        var events = judge(j, exited(placeholder(j), ExitCause.INCOMPLETE)).events();
+        assertEquals(Reconciler.Fate.WAITED_IN_VAIN, events.get(0).fate());
+        JobRecord after = JobChanges.apply(j, events, Instant.EPOCH);
+        assertEquals(2, after.claims().size());
+        assertTrue(placeholder(after) > placeholder(j));
+    }
+
+    @Test
+    void anOutcomeIsStoredBeforeItIsForgotten() {
+        JobRecord j = job(Shape.ARRAY, 1, Duration.ZERO).placed(new LinkedHashMap<>(Map.of(0, "h")));
+        var verdict = judge(j, exited(placeholder(j), ExitCause.DONE));
+        assertEquals(List.of(), verdict.orders());
+        JobRecord done = JobChanges.apply(j, verdict.events(), Instant.EPOCH);
+        assertEquals(JobRecord.End.DONE, done.end());
+        assertEquals(List.of(new Order.Forget(FIRST, placeholder(j))), judge(done, exited(placeholder(j), ExitCause.DONE)).orders());
+    }
+
+    @Test
+    void aCancelledTaskIsStoppedWithoutGraceEvenWhileSaving() {
+        JobRecord j = job(Shape.ARRAY, 1, Duration.ofSeconds(5)).placed(new LinkedHashMap<>(Map.of(0, "h"))).cancelled();
+        assertEquals(List.of(new Order.Halt(FIRST, placeholder(j), Duration.ZERO)), judge(j, status(placeholder(j), TaskPhase.SAVING)).orders());
+        assertEquals(Reconciler.Fate.GONE, judge(j).events().get(0).fate());
+    }
+
+    @Test
+    void aTaskThatGivesWayMaySave() {
+        JobRecord j = job(Shape.ARRAY, 1, Duration.ofSeconds(5)).placed(new LinkedHashMap<>(Map.of(0, "h"))).stopTask(0);
+        Order.Halt halt = (Order.Halt) judge(j, status(placeholder(j), TaskPhase.RUNNING)).orders().get(0);
+        assertTrue(halt.grace().compareTo(j.job().saveTime()) >= 0);
+        assertEquals(List.of(), judge(j, status(placeholder(j), TaskPhase.SAVING)).orders());
+    }
+
+    @Test
+    void oneLostMemberSendsTheWholeGangBackToPlacement() {
+        JobRecord real = held().real();
+        var events = judge(real, exited(real.attempt(), ExitCause.PEERS)).events();
+        JobRecord after = JobChanges.apply(real, events, Instant.EPOCH);
+        assertEquals(JobRecord.Mode.STOP, after.mode());
+        assertEquals(0, after.unplacedCount());
+        JobRecord free = after.released(1, false);
+        assertEquals(JobRecord.Mode.IDLE, free.mode());
+        assertEquals(2, free.unplacedCount());
+    }
+
+    @Test
+    void aGangIsDoneAsOne() {
+        JobRecord real = held().real();
+        JobRecord after = JobChanges.apply(real, judge(real, exited(real.attempt(), ExitCause.DONE)).events(), Instant.EPOCH);
+        assertEquals(JobRecord.End.DONE, after.end());
+    }
+
+    @Test
+    void aJobThatFailsEverywhereBacksOff() {
+        JobRecord j = job(Shape.ARRAY, 1, Duration.ZERO);
+        for (int i = 0; i < 6; i++) {
+            j = j.placed(new LinkedHashMap<>(Map.of(0, "h")));
+            j = JobChanges.apply(j, List.of(new Reconciler.Event(j.id(), 0, Reconciler.Fate.ERROR, "error")), Instant.EPOCH);
+        }
+        assertTrue(j.notBefore().orElseThrow().isAfter(Instant.EPOCH.plusSeconds(4)));
+    }
+
+    @Test
+    void tasksThatNobodyClaimsAreStopped() {
+        var verdict = Reconciler.judge(List.of(), new WorkerReport("h", "a:1", "m", "z", false, 1, 1, 1, Optional.empty(), List.of(status(3, TaskPhase.RUNNING))));
+        assertEquals(List.of(new Order.Halt(FIRST, 3, Duration.ZERO)), verdict.orders());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dunespindle/protocol/FormatsTest.java
@@ -0,0 +1,151 @@
+package org.dunespindle.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+/** Messages: what is written can be read, and nothing that is read can do more than be refused. */
+class FormatsTest {
+    @Provide
+    Arbitrary<Submission> submissions() {
+        var amounts = Arbitraries.doubles().between(0, 1000).ofScale(2);
+        var seconds = Arbitraries.integers().between(0, 100_000).map(i -> Duration.ofMillis(i * 10L));
+        var names = Arbitraries.strings().withCharRange('a', 'z').ofMinLength(1).ofMaxLength(12);
+        var sizes = Combinators.combine(amounts, amounts, amounts).as(Resources::new);
+        var flags = Arbitraries.of(true, false);
+        return Combinators.combine(names, sizes, seconds, Arbitraries.integers().between(1, Submission.MOST_TASKS), Arbitraries.of(Shape.values()), Arbitraries.of(Priority.values()), flags,
+                Arbitraries.longs().between(0, 999_999)).as((name, size, time, tasks, shape, priority, flag, number) -> new Submission("wk-%06d".formatted(number), name, name, shape,
+                        priority, tasks, size, flag ? Optional.of(List.of(name, "x")) : Optional.empty(), flag ? Optional.empty() : Optional.of(name), flag, !flag, flag, name, size.ramGb(),
+                        time, time, time, flag ? Optional.of(time) : Optional.empty()));
+    }
+
+    @Property(seed = "1", tries = 200)
+    void submissionsSurviveTheWire(@ForAll("submissions") Submission s) throws MalformedException {
+        assertEquals(s, Submission.parse(Pack.read(Pack.write(s.toNode()))));
+    }
+
+    @Property(seed = "2", tries = 500)
+    void anyBytesAreReadOrRefused(@ForAll byte[] bytes) {
+        refusedOrRead(bytes);
+    }
+
+    @Property(seed = "3", tries = 300)
+    void damagedSubmissionsAreReadOrRefused(@ForAll("submissions") Submission s, @ForAll int where, @ForAll byte what) {
+        byte[] bytes = Pack.write(s.toNode());
+        bytes[Math.floorMod(where, bytes.length)] = what;
+        refusedOrRead(bytes);
+    }
+
+    private static void refusedOrRead(byte[] bytes) {
+        try {
+            JsonNode node = Pack.read(bytes);
+            Submission.parse(node);
+            WorkerReport.parse(node);
+        } catch (MalformedException e) {
+            assertTrue(e.getMessage().length() < 200, e.getMessage());
+        }
+    }
+
+    @Property(seed = "4", tries = 200)
+    void everyFieldOfASubmissionIsChecked(@ForAll("submissions") Submission s, @ForAll int which) {
+        ObjectNode node = s.toNode();
+        List<String> required = List.of("id", "jobclass", "owner", "shape", "rank", "pieces", "vcpus", "accelerators", "ramGb", "samePlace", "apart", "driftwood", "bundle", "imageGb",
+                "guessS", "snapshotS", "flushS");
+        String field = required.get(Math.floorMod(which, required.size()));
+        node.putObject(field);
+        var complaint = assertThrows(MalformedException.class, () -> Submission.parse(node));
+        assertTrue(complaint.getMessage().contains(field), complaint.getMessage());
+        node.remove(field);
+        assertThrows(MalformedException.class, () -> Submission.parse(node));
+    }
+
+    @Test
+    void trailingBytesMakeABodyMalformed() {
+        byte[] two = {(byte) 0x80, (byte) 0x80};
+        assertThrows(MalformedException.class, () -> Pack.read(two));
+        assertThrows(MalformedException.class, () -> Pack.read(new byte[0]));
+    }
+
+    @Test
+    void idsHaveOneForm() {
+        assertTrue(Submission.wellFormedId("wk-000412"));
+        for (String bad : List.of("", "wk-", "-1", "WK-1", "wk-1/2", "wk_1", "wk-1a", "wk-" + "1".repeat(80))) {
+            assertEquals(false, Submission.wellFormedId(bad), bad);
+        }
+    }
+
+    @Property(seed = "5", tries = 200)
+    void taskNamesSurvive(@ForAll("numbers") int index) {
+        var id = new PieceId("wk-000001", index);
+        assertEquals(Optional.of(id), PieceId.parse(id.toString()));
+    }
+
+    @Provide
+    Arbitrary<Integer> numbers() {
+        return Arbitraries.integers().between(0, Integer.MAX_VALUE);
+    }
+
+    @Test
+    void reportsCarryPhasesAndCauses() throws MalformedException {
+        ObjectNode n = Pack.map().put("host", "i-1").put("address", "a:1").put("hull", "g").put("dune", "z").put("driftwood", true).put("tenure", 2).put("tick", 7).put("baton", 9)
+                .put("warningS", 12.5).put("more", "ignored");
+        n.putArray("pieces").addObject().put("piece", "wk-1/3").put("try", 4).put("phase", "exited").put("cause", "no_room");
+        WorkerReport r = WorkerReport.parse(Pack.read(Pack.write(n)));
+        assertEquals(Optional.of(Duration.ofMillis(12_500)), r.notice());
+        assertEquals(Optional.of(ExitCause.NO_ROOM), r.find(new PieceId("wk-1", 3), 4).orElseThrow().cause());
+    }
+
+    @Test
+    void brokenSettingsNameTheField() throws Exception {
+        JsonNode good = new TomlMapper().readTree("""
+                node_name = "a"
+                front = "127.0.0.1:1"
+                peer_listen = "127.0.0.1:2"
+                [outside]
+                cloud = "127.0.0.1:3"
+                state = "127.0.0.1:4"
+                [deployment]
+                new_thing = 1
+                [[deployment.teams]]
+                name = "t"
+                cpus = 0.0
+                cpus_max = 0.0
+                gpus = 1.0
+                gpus_max = 2.0
+                [deployment.workers]
+                report_s = 1.0
+                lease_s = 10.0
+                gang_wait_s = 30.0
+                gang_peer_s = 5.0
+                cancel_s = 30.0
+                [deployment.state]
+                rps = 9.0
+                write_rps = 9.0
+                value_kb = 8.0
+                txn_ops = 16
+                [deployment.cloud]
+                rps = 6.0
+                list_lag_s = 3.0
+                """);
+        Settings s = Settings.parse(good);
+        assertEquals(Double.POSITIVE_INFINITY, s.teams().get("t").cpusMax());
+        ((ObjectNode) good.at("/deployment/workers")).put("lease_s", "soon");
+        assertTrue(assertThrows(MalformedException.class, () -> Settings.parse(good)).getMessage().contains("deployment.workers.lease_s"));
+        ((ObjectNode) good).put("front", "nowhere");
+        assertTrue(assertThrows(MalformedException.class, () -> Settings.parse(good)).getMessage().length() > 5);
+    }
+}
