Lower work gives way before a gang waits for a booting machine

Ruled out: image fetches for these gangs (placed 38 s after arrival). Also: a test relied on the order of Map.of, which differs per run.

--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -333,11 +333,17 @@
             var places = new LinkedHashMap<Integer, String>();
             int unplaced = 0;
             var candidates = candidates(job, h -> true);
+            var up = candidates.stream().filter(Host::up).toList();
             for (int task : j.unplaced(job.tasks())) {
-                Optional<Host> best = best(job, candidates, zones, false);
-                boolean evicting = best.isEmpty();
-                if (evicting) {
-                    best = evict(j, candidates.stream().filter(zones::allows).toList());
+                // Lower work gives way before the gang waits for a machine to boot; that machine then takes the lower work.
+                Optional<Host> best = best(job, up, zones, false);
+                boolean evicting = false;
+                if (best.isEmpty()) {
+                    best = evict(j, up.stream().filter(zones::allows).toList());
+                    evicting = best.isPresent();
+                }
+                if (best.isEmpty()) {
+                    best = best(job, candidates, zones, false);
                 }
                 if (best.isEmpty()) {
                     unplaced++;
--- a/src/test/java/org/dunespindle/bookkeeping/JobRecordTest.java
+++ b/src/test/java/org/dunespindle/bookkeeping/JobRecordTest.java
@@ -72,14 +72,14 @@
 
     @Test
     void tasksPassedOverAreNotCountedAsDone() {
-        JobRecord j = job(Shape.ARRAY, 5).placed(new LinkedHashMap<>(java.util.Map.of(3, "h")));
+        JobRecord j = job(Shape.ARRAY, 5).placed(new java.util.TreeMap<>(java.util.Map.of(3, "h")));
         assertEquals(0, j.doneCount());
         assertEquals(List.of(0, 1, 2, 4), new IntArrayList(new IntRBTreeSet(j.unplaced(10))));
     }
 
     @Test
     void placeholdersOfAGangNeverShareAnAttempt() {
-        JobRecord j = job(Shape.GANG, 3).placed(new LinkedHashMap<>(java.util.Map.of(0, "a", 1, "b", 2, "c")));
+        JobRecord j = job(Shape.GANG, 3).placed(new java.util.TreeMap<>(java.util.Map.of(0, "a", 1, "b", 2, "c")));
         var attempts = new HashSet<Long>();
         j.claims().forEach(c -> attempts.add(c.base() + c.task()));
         assertEquals(3, attempts.size());
@@ -95,14 +95,14 @@
 
     @Test
     void aServiceNeverCompletesByItself() {
-        JobRecord j = job(Shape.SERVICE, 1).placed(new LinkedHashMap<>(java.util.Map.of(0, "h"))).released(0, true);
+        JobRecord j = job(Shape.SERVICE, 1).placed(new java.util.TreeMap<>(java.util.Map.of(0, "h"))).released(0, true);
         assertTrue(j.open());
         assertEquals(1, j.unplacedCount());
     }
 
     @Test
     void aCancelledJobKeepsItsClaimsUntilTheyAreReleased() {
-        JobRecord j = job(Shape.ARRAY, 2).placed(new LinkedHashMap<>(java.util.Map.of(0, "h", 1, "h"))).cancelled();
+        JobRecord j = job(Shape.ARRAY, 2).placed(new java.util.TreeMap<>(java.util.Map.of(0, "h", 1, "h"))).cancelled();
         assertEquals(2, j.claims().size());
         assertEquals(0, j.unplacedCount());
         j = j.released(0, false).released(1, true);
--- a/src/test/java/org/dunespindle/coordination/PlannerTest.java
+++ b/src/test/java/org/dunespindle/coordination/PlannerTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.dunespindle.bookkeeping.JobRecord;
@@ -87,7 +88,7 @@
     @Test
     void noPlaceholderBeforeTheLimitCoversTheWholeGang() {
         JobRecord running = job(1, "red", Shape.ARRAY, Priority.URGENT, 3, false, false, true);
-        running = running.placed(new LinkedHashMap<>(Map.of(0, "a", 1, "a", 2, "a")));
+        running = running.placed(new TreeMap<>(Map.of(0, "a", 1, "a", 2, "a")));
         Planner.Plan plan = plan(List.of(running, job(2, "red", Shape.GANG, Priority.URGENT, 4, false, false, true)), List.of(host("a", "east", false, 8)));
         assertEquals(List.of(), plan.bookings());
         assertTrue(plan.reasons().get("wk-000002").contains("limit"));
@@ -103,7 +104,7 @@
 
     @Test
     void aFullyBookedGangAndGangsOfOneDoNotHoldUpTheQueue() {
-        JobRecord booked = job(1, "blue", Shape.GANG, Priority.URGENT, 2, false, false, true).placed(new LinkedHashMap<>(Map.of(0, "a", 1, "a")));
+        JobRecord booked = job(1, "blue", Shape.GANG, Priority.URGENT, 2, false, false, true).placed(new TreeMap<>(Map.of(0, "a", 1, "a")));
         Planner.Plan plan = plan(List.of(booked, job(2, "blue", Shape.GANG, Priority.URGENT, 2, false, false, true), job(3, "blue", Shape.GANG, Priority.URGENT, 1, false, false, true)),
                 List.of(host("a", "east", false, 5)));
         assertEquals(List.of("wk-000002", "wk-000003"), plan.bookings().stream().map(b -> b.job().id()).toList());
@@ -111,7 +112,7 @@
 
     @Test
     void lowerWorkGivesWayOnOneMachineOnly() {
-        JobRecord low = job(1, "blue", Shape.ARRAY, Priority.LOW, 4, false, false, true).placed(new LinkedHashMap<>(Map.of(0, "a", 1, "a", 2, "b", 3, "b")));
+        JobRecord low = job(1, "blue", Shape.ARRAY, Priority.LOW, 4, false, false, true).placed(new TreeMap<>(Map.of(0, "a", 1, "a", 2, "b", 3, "b")));
         var hosts = List.of(host("a", "east", false, 2), host("b", "east", false, 2));
         JobRecord gang = job(2, "red", Shape.GANG, Priority.URGENT, 1, false, false, true);
         Planner.Plan plan = plan(List.of(low, gang), hosts);
@@ -123,7 +124,7 @@
 
     @Test
     void equalPriorityNeverGivesWay() {
-        JobRecord other = job(1, "blue", Shape.ARRAY, Priority.URGENT, 2, false, false, true).placed(new LinkedHashMap<>(Map.of(0, "a", 1, "a")));
+        JobRecord other = job(1, "blue", Shape.ARRAY, Priority.URGENT, 2, false, false, true).placed(new TreeMap<>(Map.of(0, "a", 1, "a")));
         Planner.Plan plan = plan(List.of(other, job(2, "red", Shape.GANG, Priority.URGENT, 1, false, false, true)), List.of(host("a", "east", false, 2)));
         assertEquals(List.of(), plan.evictions());
         assertEquals(1, plan.shortfalls().size());
--- a/src/test/java/org/dunespindle/coordination/ReconcilerTest.java
+++ b/src/test/java/org/dunespindle/coordination/ReconcilerTest.java
@@ -5,10 +5,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.dunespindle.bookkeeping.JobRecord;
 import org.dunespindle.bookkeeping.Replica.Placed;
 import org.dunespindle.protocol.ExitCause;
@@ -33,7 +33,7 @@
     }
 
     private static JobRecord held() {
-        return job(Shape.GANG, 2, Duration.ZERO).placed(new LinkedHashMap<>(Map.of(0, "h", 1, "k")));
+        return job(Shape.GANG, 2, Duration.ZERO).placed(new TreeMap<>(Map.of(0, "h", 1, "k")));
     }
 
     private static Reconciler.Verdict judge(JobRecord j, TaskStatus... tasks) {
@@ -74,7 +74,7 @@
 
     @Test
     void anOutcomeIsStoredBeforeItIsForgotten() {
-        JobRecord j = job(Shape.ARRAY, 1, Duration.ZERO).placed(new LinkedHashMap<>(Map.of(0, "h")));
+        JobRecord j = job(Shape.ARRAY, 1, Duration.ZERO).placed(new TreeMap<>(Map.of(0, "h")));
         var verdict = judge(j, exited(placeholder(j), ExitCause.DONE));
         assertEquals(List.of(), verdict.orders());
         JobRecord done = JobChanges.apply(j, verdict.events(), Instant.EPOCH);
@@ -84,14 +84,14 @@
 
     @Test
     void aCancelledTaskIsStoppedWithoutGraceEvenWhileSaving() {
-        JobRecord j = job(Shape.ARRAY, 1, Duration.ofSeconds(5)).placed(new LinkedHashMap<>(Map.of(0, "h"))).cancelled();
+        JobRecord j = job(Shape.ARRAY, 1, Duration.ofSeconds(5)).placed(new TreeMap<>(Map.of(0, "h"))).cancelled();
         assertEquals(List.of(new Order.Halt(FIRST, placeholder(j), Duration.ZERO)), judge(j, status(placeholder(j), TaskPhase.SAVING)).orders());
         assertEquals(Reconciler.Fate.GONE, judge(j).events().get(0).fate());
     }
 
     @Test
     void aTaskThatGivesWayMaySave() {
-        JobRecord j = job(Shape.ARRAY, 1, Duration.ofSeconds(5)).placed(new LinkedHashMap<>(Map.of(0, "h"))).stopTask(0);
+        JobRecord j = job(Shape.ARRAY, 1, Duration.ofSeconds(5)).placed(new TreeMap<>(Map.of(0, "h"))).stopTask(0);
         Order.Halt halt = (Order.Halt) judge(j, status(placeholder(j), TaskPhase.RUNNING)).orders().get(0);
         assertTrue(halt.grace().compareTo(j.job().saveTime()) >= 0);
         assertEquals(List.of(), judge(j, status(placeholder(j), TaskPhase.SAVING)).orders());
@@ -120,7 +120,7 @@
     void aJobThatFailsEverywhereBacksOff() {
         JobRecord j = job(Shape.ARRAY, 1, Duration.ZERO);
         for (int i = 0; i < 6; i++) {
-            j = j.placed(new LinkedHashMap<>(Map.of(0, "h")));
+            j = j.placed(new TreeMap<>(Map.of(0, "h")));
             j = JobChanges.apply(j, List.of(new Reconciler.Event(j.id(), 0, Reconciler.Fate.ERROR, "error")), Instant.EPOCH);
         }
         assertTrue(j.notBefore().orElseThrow().isAfter(Instant.EPOCH.plusSeconds(4)));
