--- a/src/main/java/org/dunespindle/Daemon.java
+++ b/src/main/java/org/dunespindle/Daemon.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
@@ -11,9 +12,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.coordination.Admin;
 import org.dunespindle.coordination.Controller;
 import org.dunespindle.coordination.FrontDesk;
-import org.dunespindle.coordination.Peers;
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.Pack;
 import org.dunespindle.protocol.Settings;
@@ -64,6 +65,16 @@
         }
     }
 
+    /** Where users and workers reach this controller. */
+    public InetSocketAddress frontAddress() {
+        return (InetSocketAddress) front.localAddress();
+    }
+
+    /** Where other controllers and administrators reach it. */
+    public InetSocketAddress peerAddress() {
+        return (InetSocketAddress) peer.localAddress();
+    }
+
     public void awaitEnd() throws InterruptedException {
         front.closeFuture().sync();
     }
@@ -88,7 +99,7 @@
     }
 
     private static HttpReply json(int status, ObjectNode body) {
-        return new HttpReply(status, JSON, Peers.write(body), Optional.empty());
+        return new HttpReply(status, JSON, Admin.write(body), Optional.empty());
     }
 
     private void front(HttpCall call, Consumer<HttpReply> reply) {
@@ -143,7 +154,7 @@
             controller.peers().hear(call.body());
             reply.accept(json(200, controller.ownWord()));
         } else {
-            reply.accept(json(404, Pack.map().put("error", "no such path")));
+            controller.admin().handle(call.method(), call.path(), call.body(), a -> reply.accept(json(a.status(), a.body())));
         }
     }
 }
--- a/src/main/java/org/dunespindle/Main.java
+++ b/src/main/java/org/dunespindle/Main.java
@@ -37,12 +37,14 @@
         CommandSpec rehearse = CommandSpec.create().name("rehearse");
         rehearse.usageMessage().description("Start up against nothing and end, for the build's class archive.").hidden(true);
         spec.addSubcommand("rehearse", rehearse);
+        AdminCommands.addTo(spec);
         return spec;
     }
 
     private static int execute(ParseResult parsed) {
         if (parsed.hasSubcommand()) {
-            return Rehearsal.run();
+            ParseResult sub = parsed.subcommand();
+            return sub.commandSpec().name().equals("rehearse") ? Rehearsal.run() : AdminCommands.run(sub);
         }
         Path file = parsed.matchedOptionValue("--config", null);
         if (file == null) {
--- a/src/main/java/org/dunespindle/bookkeeping/HostRecord.java
+++ b/src/main/java/org/dunespindle/bookkeeping/HostRecord.java
@@ -15,6 +15,15 @@
 public record HostRecord(String id, String address, String type, String zone, boolean spot, String owner, long incarnation, long token, Instant rented,
         Instant keepUntil, boolean leaving, String why) {
 
+    /** Reasons for leaving that let present work end first. */
+    public static final String IDLE = "it is idle";
+    public static final String DRAINED = "an operator drains it";
+
+    /** Whether the machine is given back only once its tasks have ended. */
+    public boolean leavesWhenEmpty() {
+        return why.equals(IDLE) || why.equals(DRAINED);
+    }
+
     public HostRecord ownedBy(String node, long inc, Instant keep) {
         return new HostRecord(id, address, type, zone, spot, node, inc, token + 1, rented, keep, leaving, why);
     }
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/Admin.java
@@ -0,0 +1,202 @@
+package org.dunespindle.coordination;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import org.dunespindle.bookkeeping.Claim;
+import org.dunespindle.bookkeeping.HostRecord;
+import org.dunespindle.bookkeeping.JobRecord;
+import org.dunespindle.bookkeeping.Keys;
+import org.dunespindle.bookkeeping.Replica;
+import org.dunespindle.bookkeeping.Txn;
+import org.dunespindle.bookkeeping.TxnResult;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Settings;
+
+/** The administration API, version 1: JSON on the peers' address. */
+public final class Admin {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String PREFIX = "/v1/";
+    private final Settings settings;
+    private final Replica replica;
+    private final Membership membership;
+    private final Committer committer;
+    private final Decisions decisions;
+    private final Controller controller;
+    private final Map<String, Histogram> latencies;
+
+    /** An answer before it is put on the wire. */
+    public record Answer(int status, ObjectNode body) {}
+
+    Admin(Settings settings, Replica replica, Membership membership, Committer committer, Decisions decisions, Controller controller, Map<String, Histogram> latencies) {
+        this.settings = settings;
+        this.replica = replica;
+        this.membership = membership;
+        this.committer = committer;
+        this.decisions = decisions;
+        this.controller = controller;
+        this.latencies = latencies;
+    }
+
+    public void handle(String method, String path, byte[] body, Consumer<Answer> answer) {
+        if (!path.startsWith(PREFIX)) {
+            answer.accept(error(404, "no such path"));
+        } else if (!replica.loaded()) {
+            answer.accept(error(503, "this controller is still reading the stored state"));
+        } else if (method.equals("GET")) {
+            replica.refresh(() -> answer.accept(read(path.substring(PREFIX.length()))), () -> answer.accept(error(503, "the state service does not answer")));
+        } else if (method.equals("PUT") && path.equals(PREFIX + "options")) {
+            setOptions(body, answer);
+        } else if (method.equals("POST") && path.startsWith(PREFIX + "hosts/") && path.endsWith("/drain")) {
+            drain(path.substring((PREFIX + "hosts/").length(), path.length() - "/drain".length()), answer);
+        } else {
+            answer.accept(error(405, "not possible: " + method + " " + path));
+        }
+    }
+
+    private static Answer error(int status, String text) {
+        return new Answer(status, Pack.map().put("error", text));
+    }
+
+    private Answer read(String what) {
+        ObjectNode n = Pack.map();
+        if (what.startsWith("jobs/")) {
+            return replica.job(what.substring("jobs/".length())).map(j -> new Answer(200, show(j, true))).orElseGet(() -> error(404, "no such job"));
+        }
+        switch (what) {
+            case "jobs" -> {
+                var list = n.putArray("jobs");
+                replica.livingJobs().forEach(j -> list.add(show(j, false)));
+                n.put("finished", replica.jobs().values().stream().filter(j -> !j.open()).count());
+            }
+            case "hosts" -> {
+                var list = n.putArray("hosts");
+                replica.hosts().values().forEach(h -> list.add(show(h)));
+            }
+            case "teams" -> teams(n);
+            case "controllers" -> {
+                membership.leader().ifPresent(l -> n.put("leader", l));
+                var list = n.putArray("controllers");
+                replica.members().forEach((name, v) -> list.addObject().put("name", name).put("incarnation", v.path("inc").longValue())
+                        .put("machines", replica.hosts().values().stream().filter(h -> h.owner().equals(name)).count()));
+            }
+            case "options" -> n.put("stamp", replica.stamp(Keys.OPTIONS)).set("options", controller.options().describe());
+            case "decisions" -> decisions.toNode(n.put("controller", settings.nodeName()));
+            case "latency" -> latencies.forEach((name, h) -> n.putObject(name).put("count", h.getTotalCount()).put("p50Ms", h.getValueAtPercentile(50) / 1000.0)
+                    .put("p90Ms", h.getValueAtPercentile(90) / 1000.0).put("p99Ms", h.getValueAtPercentile(99) / 1000.0).put("maxMs", h.getMaxValue() / 1000.0));
+            default -> {
+                return error(404, "no such path; there are jobs, hosts, teams, controllers, options, decisions, latency");
+            }
+        }
+        return new Answer(200, n);
+    }
+
+    private ObjectNode show(JobRecord j, boolean whole) {
+        ObjectNode n = FrontDesk.show(j).body();
+        j.spec().ifPresent(s -> n.put("class", s.jobClass()).put("team", s.team()).put("shape", s.shape().wire()).put("priority", s.priority().wire()).put("tasks", s.tasks()));
+        n.put("accepted", j.arrived().toString());
+        boolean placing = j.open() && j.job().gang() && j.mode() != JobRecord.Mode.REAL;
+        if (placing || j.unplacedCount() > 0) {
+            n.put("waits", controller.whyWaits(j));
+        }
+        if (whole && j.spec().isPresent()) {
+            n.put("mode", j.mode().name().toLowerCase(java.util.Locale.ROOT)).put("failures", j.failures());
+            var list = n.putArray("places");
+            for (Claim c : j.claims()) {
+                list.addObject().put("task", c.task()).put("host", c.host()).put("attempt", j.wantedAttempt(c)).put("stopping", c.stopping());
+            }
+        }
+        return n;
+    }
+
+    private ObjectNode show(HostRecord h) {
+        ObjectNode n = Pack.map().put("id", h.id()).put("type", h.type()).put("zone", h.zone()).put("spot", h.spot()).put("owner", h.owner()).put("token", h.token())
+                .put("rented", h.rented().toString()).put("tasks", replica.claimsOn(h.id()).size()).put("leaving", h.leaving());
+        membership.hashed(h.id()).filter(home -> !home.equals(h.owner())).ifPresent(home -> n.put("lentBy", home));
+        return h.leaving() ? n.put("why", h.why()) : n;
+    }
+
+    private void teams(ObjectNode n) {
+        Map<String, Resources> use = Planner.use(replica.livingJobs());
+        var list = n.putArray("teams");
+        settings.teams().values().forEach(t -> {
+            Resources r = use.getOrDefault(t.name(), Resources.NONE);
+            ObjectNode o = list.addObject().put("name", t.name()).put("cpusUsed", r.cpus()).put("gpusUsed", r.gpus()).put("cpusGuaranteed", t.cpus()).put("gpusGuaranteed", t.gpus());
+            if (Double.isFinite(t.cpusMax())) {
+                o.put("cpusMost", t.cpusMax());
+            }
+            if (Double.isFinite(t.gpusMax())) {
+                o.put("gpusMost", t.gpusMax());
+            }
+        });
+    }
+
+    /** Stores options if nobody changed them since the caller read them. */
+    private void setOptions(byte[] body, Consumer<Answer> answer) {
+        JsonNode n;
+        try {
+            n = JSON.readTree(body);
+        } catch (IOException e) {
+            n = null;
+        }
+        if (n == null || !n.path("stamp").isIntegralNumber() || !n.path("values").isObject()) {
+            answer.accept(error(400, "expected {\"stamp\": as read, \"values\": {name: value}}"));
+            return;
+        }
+        ObjectNode merged = replica.value(Keys.OPTIONS).filter(JsonNode::isObject).map(v -> ((ObjectNode) v).deepCopy()).orElseGet(Pack::map);
+        for (Iterator<Map.Entry<String, JsonNode>> it = n.get("values").fields(); it.hasNext();) {
+            var e = it.next();
+            Optional<String> wrong = Options.complaint(e.getKey(), e.getValue(), settings.workers().lease());
+            if (wrong.isPresent()) {
+                answer.accept(error(400, wrong.get()));
+                return;
+            }
+            merged.set(e.getKey(), e.getValue());
+        }
+        commit(new Txn().guard(Keys.OPTIONS, n.get("stamp").longValue()).write(Keys.OPTIONS, merged), Keys.OPTIONS, answer,
+                () -> new Answer(200, Pack.map().put("stamp", replica.stamp(Keys.OPTIONS))));
+    }
+
+    private void drain(String id, Consumer<Answer> answer) {
+        HostRecord h = replica.hosts().get(id);
+        if (h == null) {
+            answer.accept(error(404, "no such machine"));
+            return;
+        }
+        String key = Keys.host(id);
+        commit(new Txn().guard(key, replica.stamp(key)).write(key, h.leaving(HostRecord.DRAINED).toNode()), key, answer, () -> new Answer(200, Pack.map().put("id", id).put("leaving", true)));
+    }
+
+    private void commit(Txn txn, String key, Consumer<Answer> answer, java.util.function.Supplier<Answer> good) {
+        if (committer.isLocked(key)) {
+            answer.accept(error(409, "another change is under way; read again and repeat"));
+            return;
+        }
+        committer.propose(txn, r -> {
+            if (r instanceof TxnResult.Applied) {
+                answer.accept(good.get());
+            } else if (r instanceof TxnResult.Conflict) {
+                answer.accept(error(409, "changed by somebody else meanwhile; read again and repeat"));
+            } else {
+                answer.accept(error(503, "the state service does not answer"));
+            }
+        });
+    }
+
+    /** The body of a JSON answer. */
+    public static byte[] write(JsonNode n) {
+        try {
+            return JSON.writeValueAsBytes(n);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
 import org.dunespindle.bookkeeping.Claim;
@@ -63,9 +64,14 @@
     private final CloudClient cloud;
     private final Fleet fleet;
     private final FrontDesk frontDesk;
-    private final Options options;
+    private final Decisions decisions;
+    private Options options;
+    private long optionsStamp;
+    private final Admin admin;
     private final Headroom headroom;
+    private final Histogram accepts = new Histogram(60_000_000L, 2);
     private final Histogram rounds = new Histogram(60_000_000L, 2);
+    private final Histogram holdPlacement = new Histogram(3_600_000_000L, 2);
     private final Map<String, Duration> firstHold = new HashMap<>();
     private final Map<String, Duration> elsewhereSince = new HashMap<>();
     private final Map<String, Duration> borrowedAt = new HashMap<>();
@@ -78,17 +84,48 @@
     public Controller(Settings settings, Caller http, Timeline timeline) {
         this.settings = settings;
         this.timeline = timeline;
+        this.decisions = new Decisions(timeline);
         this.options = Options.defaults(settings.workers().lease());
         this.state = new StateClient(http, settings, timeline);
         this.replica = new Replica(state, timeline, SYNC_EVERY, this::wake);
         this.membership = new Membership(settings.nodeName(), state, replica, timeline);
         this.committer = new Committer(state, replica, settings.state().txnOps(), this::wake);
-        this.hostDesk = new HostDesk(settings, replica, membership, committer, http, timeline, sessions, this::wake);
+        this.hostDesk = new HostDesk(settings, replica, membership, committer, http, timeline, sessions, decisions, this::wake);
         this.peers = new Peers(settings, http, timeline, (host, image) -> sessions.of(host).fetched(image));
         this.cloud = new CloudClient(http, settings, timeline);
-        this.fleet = new Fleet(settings, replica, membership, committer, cloud, timeline, sessions, peers, () -> options, () -> catalog);
+        this.fleet = new Fleet(settings, replica, membership, committer, cloud, timeline, sessions, peers, decisions, this::options, () -> catalog);
+        this.admin = new Admin(settings, replica, membership, committer, decisions, this,
+                new TreeMap<>(Map.of("decisionRound", rounds, "stateCall", state.latency(), "cloudCall", cloud.latency(), "holdPlacement", holdPlacement, "accept", accepts)));
         this.headroom = new Headroom(settings.objectives());
-        this.frontDesk = new FrontDesk(settings, replica, state, committer, timeline, () -> catalog);
+        this.frontDesk = new FrontDesk(settings, replica, state, committer, timeline, () -> catalog, accepts);
+    }
+
+    /** The operators' settings as stored now. */
+    public Options options() {
+        long stamp = replica.stamp(Keys.OPTIONS);
+        if (stamp != optionsStamp) {
+            optionsStamp = stamp;
+            options = Options.of(replica.value(Keys.OPTIONS), settings.workers().lease());
+        }
+        return options;
+    }
+
+    public Admin admin() {
+        return admin;
+    }
+
+    /** Why an unfinished job waits, in words for its user. */
+    public String whyWaits(JobRecord j) {
+        if (replica.age().compareTo(PLACING_VIEW) > 0) {
+            return "the state service does not answer; nothing new is placed";
+        }
+        if (j.spec().isPresent() && j.job().gang() && j.mode() == JobRecord.Mode.STOP) {
+            return "its members are being stopped before it is placed again";
+        }
+        if (j.unplacedCount() == 0) {
+            return "its placeholders fetch the image";
+        }
+        return plan.reasons().getOrDefault(j.id(), "it is about to be placed");
     }
 
     public FrontDesk frontDesk() {
@@ -261,14 +298,14 @@
         String host = job.claim(e.task()).map(Claim::host).orElse("?");
         Sessions.Session s = sessions.of(host);
         if (e.fate() == Reconciler.Fate.ERROR) {
-            LOG.info("task {}/{} failed on machine {}; it is started again elsewhere or later", job.id(), e.task(), host);
+            decisions.tell(LOG, "task {}/{} failed on machine {}; it is started again elsewhere or later", job.id(), e.task(), host);
             s.errorsInARow = s.lastErrorJob.equals(job.id()) && s.errorsInARow > 0 ? s.errorsInARow : s.errorsInARow + 1;
             s.lastErrorJob = job.id();
         } else if (e.fate() == Reconciler.Fate.DONE) {
             s.errorsInARow = 0;
             s.lastErrorJob = "";
         } else if (job.open()) {
-            LOG.info("task {}/{} left machine {}: {}", job.id(), e.task(), host, e.why());
+            decisions.tell(LOG, "task {}/{} left machine {}: {}", job.id(), e.task(), host, e.why());
         }
     }
 
@@ -348,7 +385,7 @@
                 impatient.add(job);
             }
         });
-        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, impatient, headroom.phantoms());
+        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, impatient, headroom.phantoms(options().spareJobs()));
     }
 
     /** Commits this controller's part of the plan: one transaction per team, which the team's ledger guards. */
@@ -389,7 +426,8 @@
 
     /** Gangs are the leader's: it takes the machine over and gives it back when no gang is on it any more. */
     private void borrow(HostRecord h) {
-        if (h.keepUntil().isBefore(timeline.wallTime())) {
+        long borrowed = replica.hosts().values().stream().filter(membership::owns).filter(o -> membership.hashed(o.id()).filter(settings.nodeName()::equals).isEmpty()).count();
+        if (h.keepUntil().isBefore(timeline.wallTime()) && borrowed < options().borrowedMachines()) {
             borrowedAt.put(h.id(), timeline.now());
             hostDesk.take(h, Instant.EPOCH, r -> { });
         }
@@ -441,7 +479,7 @@
             JobRecord j = victims.getOrDefault(e.victim().id(), e.victim());
             victims.put(j.id(), j.stopTask(e.claim().task()));
             if (!committer.isLocked(Keys.job(j.id()))) {
-                LOG.info("task {}/{} on {} gives way to {}", j.id(), e.claim().task(), e.claim().host(), e.forJob());
+                decisions.tell(LOG, "task {}/{} on {} gives way to {}", j.id(), e.claim().task(), e.claim().host(), e.forJob());
             }
         }
         victims.forEach((id, changed) -> {
@@ -462,14 +500,15 @@
             holding.add(j.id());
             Duration since = now.minus(firstHold.computeIfAbsent(j.id(), k -> now));
             boolean all = j.claims().size() == j.job().tasks();
-            Duration limit = all ? options.firstHoldTimer().plus(settings.workers().gangWait()).plus(Duration.ofSeconds(30)) : options.firstHoldTimer();
+            Duration limit = all ? options().firstHoldTimer().plus(settings.workers().gangWait()).plus(Duration.ofSeconds(30)) : options().firstHoldTimer();
             var txn = new Txn();
             guardLeader(txn);
-            if (all && allAssembling(j)) {
-                LOG.info("gang {}: all {} placeholders are placed; real tasks replace them", j.id(), j.job().tasks());
+            if (all && allAssembling(j) && !committer.isLocked(Keys.job(j.id()))) {
+                holdPlacement.recordValue(Math.min(3_600_000_000L, since.toNanos() / 1000));
+                decisions.tell(LOG, "gang {}: all {} placeholders are placed; real tasks replace them", j.id(), j.job().tasks());
                 change(j, j.real(), txn, r -> { });
             } else if (since.compareTo(limit) > 0) {
-                LOG.info("gang {}: its placement ended after {} s with {} of {} placeholders; queued again", j.id(), since.toSeconds(), j.claims().size(), j.job().tasks());
+                decisions.tell(LOG, "gang {}: its placement ended after {} s with {} of {} placeholders; queued again", j.id(), since.toSeconds(), j.claims().size(), j.job().tasks());
                 change(j, j.stopGang().requeued(timeline.wallTime().toEpochMilli()), txn, r -> { });
             } else {
                 borrowHolds(j);
@@ -514,7 +553,7 @@
                 }
                 var txn = new Txn();
                 guardHost(txn, h.id());
-                LOG.info("machine {} is about to be taken away; {} stops there", h.id(), j.job().gang() ? "gang " + j.id() : "task " + j.id() + "/" + p.claim().task());
+                decisions.tell(LOG, "machine {} is about to be taken away; {} stops there", h.id(), j.job().gang() ? "gang " + j.id() : "task " + j.id() + "/" + p.claim().task());
                 change(j, j.job().gang() ? j.stopGang() : stopAllOn(j, h.id()), txn, r -> { });
             }
         }
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/Decisions.java
@@ -0,0 +1,37 @@
+package org.dunespindle.coordination;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import org.dunespindle.bookkeeping.Timeline;
+import org.slf4j.Logger;
+import org.slf4j.helpers.MessageFormatter;
+
+/** Tells each decision in one log line and remembers the latest for the administration API. */
+public final class Decisions {
+    private static final int REMEMBERED = 200;
+    private final Timeline timeline;
+    private final ArrayDeque<Entry> latest = new ArrayDeque<>();
+
+    private record Entry(Instant at, String text) {}
+
+    public Decisions(Timeline timeline) {
+        this.timeline = timeline;
+    }
+
+    public void tell(Logger log, String pattern, Object... parts) {
+        String text = MessageFormatter.arrayFormat(pattern, parts).getMessage();
+        log.info(text);
+        latest.addLast(new Entry(timeline.wallTime(), text));
+        if (latest.size() > REMEMBERED) {
+            latest.removeFirst();
+        }
+    }
+
+    public ObjectNode toNode(ObjectNode into) {
+        ArrayNode list = into.putArray("decisions");
+        latest.forEach(e -> list.addObject().put("at", e.at.toString()).put("what", e.text));
+        return into;
+    }
+}
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -46,6 +46,7 @@
     private final Timeline timeline;
     private final Sessions sessions;
     private final Peers peers;
+    private final Decisions decisions;
     private final Supplier<Options> options;
     private final Supplier<Optional<List<MachineType>>> catalog;
     private final Map<Planner.Market, Refusal> refusals = new HashMap<>();
@@ -65,7 +66,7 @@
     private record Refusal(Duration until, Duration pause) {}
 
     public Fleet(Settings settings, Replica replica, Membership membership, Committer committer, CloudClient cloud, Timeline timeline, Sessions sessions, Peers peers,
-            Supplier<Options> options, Supplier<Optional<List<MachineType>>> catalog) {
+            Decisions decisions, Supplier<Options> options, Supplier<Optional<List<MachineType>>> catalog) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
@@ -74,6 +75,7 @@
         this.timeline = timeline;
         this.sessions = sessions;
         this.peers = peers;
+        this.decisions = decisions;
         this.options = options;
         this.catalog = catalog;
     }
@@ -241,8 +243,7 @@
             return Optional.of("it has been silent for " + silence.toSeconds() + " s");
         }
         Duration idle = now.minus(idleSince.getOrDefault(h.id(), now));
-        Duration limitIdle = h.spot() ? options.get().idleSpotBeforeReturn() : options.get().idleBeforeReturn();
-        return idle.compareTo(limitIdle) > 0 ? Optional.of("it is idle") : Optional.empty();
+        return idle.compareTo(options.get().idleBeforeReturn(h.spot())) > 0 ? Optional.of(HostRecord.IDLE) : Optional.empty();
     }
 
     private static Duration later(Duration a, Duration b) {
@@ -256,7 +257,7 @@
 
     private void leave(HostRecord h, String why) {
         String key = Keys.host(h.id());
-        LOG.info("machine {} is given back: {}", h.id(), why);
+        decisions.tell(LOG, "machine {} is given back: {}", h.id(), why);
         committer.propose(new Txn().guard(key, replica.stamp(key)).write(key, h.leaving(why).toNode()), r -> { });
     }
 
@@ -268,7 +269,7 @@
         for (HostRecord h : replica.hosts().values()) {
             // Placements guard the record's stamp: once it says leaving and everything up to it is known, nothing new can come.
             boolean settled = h.leaving() && replica.syncedTo() >= replica.stamp(Keys.host(h.id())) && !isGone(h.id());
-            boolean unused = replica.claimsOn(h.id()).isEmpty() || !h.why().equals("it is idle");
+            boolean unused = replica.claimsOn(h.id()).isEmpty() || !h.leavesWhenEmpty();
             if (settled && unused && hosts.size() < MOST_RETURNED) {
                 hosts.add(h.id());
             }
@@ -432,7 +433,7 @@
                 refusals.remove(market);
             }
             if (!rented.hosts().isEmpty()) {
-                LOG.info("rented {} of {} in {} ({})", rented.hosts().size(), market.type(), market.zone(), market.spot() ? "spot" : "ordinary");
+                decisions.tell(LOG, "rented {} of {} in {} ({})", rented.hosts().size(), market.type(), market.zone(), market.spot() ? "spot" : "ordinary");
                 rented.hosts().forEach(id -> record(id, "", market, timeline.wallTime()));
             }
         });
@@ -444,6 +445,6 @@
             pause = LONGEST_PAUSE;
         }
         refusals.put(market, new Refusal(timeline.now().plus(pause), pause));
-        LOG.info("no more {} in {} ({}); asked again in {} s", market.type(), market.zone(), market.spot() ? "spot" : "ordinary", pause.toSeconds());
+        decisions.tell(LOG, "no more {} in {} ({}); asked again in {} s", market.type(), market.zone(), market.spot() ? "spot" : "ordinary", pause.toSeconds());
     }
 }
--- a/src/main/java/org/dunespindle/coordination/FrontDesk.java
+++ b/src/main/java/org/dunespindle/coordination/FrontDesk.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.HdrHistogram.Histogram;
 import org.dunespindle.bookkeeping.JobRecord;
 import org.dunespindle.bookkeeping.Keys;
 import org.dunespindle.bookkeeping.Replica;
@@ -31,6 +32,7 @@
     private final Committer committer;
     private final Timeline timeline;
     private final Supplier<Optional<List<MachineType>>> catalog;
+    private final Histogram accepts;
 
     /** An answer before it is put on the wire. */
     public record Answer(int status, ObjectNode body, Optional<Duration> retryAfter) {
@@ -47,13 +49,14 @@
         }
     }
 
-    public FrontDesk(Settings settings, Replica replica, StateClient state, Committer committer, Timeline timeline, Supplier<Optional<List<MachineType>>> catalog) {
+    public FrontDesk(Settings settings, Replica replica, StateClient state, Committer committer, Timeline timeline, Supplier<Optional<List<MachineType>>> catalog, Histogram accepts) {
         this.settings = settings;
         this.replica = replica;
         this.state = state;
         this.committer = committer;
         this.timeline = timeline;
         this.catalog = catalog;
+        this.accepts = accepts;
     }
 
     public void submit(byte[] body, Consumer<Answer> answer) {
@@ -98,7 +101,9 @@
             answer.accept(Answer.later("the same submission is being stored", SOON));
             return;
         }
+        Duration begun = timeline.now();
         committer.propose(new Txn().guard(key, 0).write(key, record.toNode()), r -> {
+            accepts.recordValue(Math.min(60_000_000L, timeline.now().minus(begun).toNanos() / 1000));
             Optional<JobRecord> now = replica.job(job.id());
             if (r instanceof TxnResult.Applied) {
                 answer.accept(Answer.of(201, Pack.map().put("id", job.id()).put("phase", "queued")));
--- a/src/main/java/org/dunespindle/coordination/Headroom.java
+++ b/src/main/java/org/dunespindle/coordination/Headroom.java
@@ -51,15 +51,17 @@
         return counts.entrySet().stream().max(Map.Entry.comparingByValue()).orElseThrow().getKey();
     }
 
-    /** One job of median size per class, as a record that nothing stores. */
-    public List<JobRecord> phantoms() {
+    /** Jobs of median size, some per class, as records that nothing stores. */
+    public List<JobRecord> phantoms(int perClass) {
         var list = new ArrayList<JobRecord>();
         recent.forEach((name, jobs) -> {
             int[] sizes = jobs.stream().mapToInt(Submission::tasks).sorted().toArray();
             Submission s = jobs.getLast();
             var typical = new Submission("~" + name, name, s.team(), s.shape(), s.priority(), sizes[sizes.length / 2], s.perTask(), s.types(), Optional.empty(), s.sameZone(), s.spread(),
                     s.spot(), common(jobs), 0, s.estimate(), Duration.ZERO, Duration.ZERO, Optional.empty());
-            list.add(JobRecord.accepted(typical, Instant.EPOCH));
+            for (int i = 0; i < perClass; i++) {
+                list.add(JobRecord.accepted(typical, Instant.EPOCH));
+            }
         });
         return list;
     }
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -43,11 +43,12 @@
     private final Caller http;
     private final Timeline timeline;
     private final Sessions sessions;
+    private final Decisions decisions;
     private final Runnable changed;
     /** Views older than this no longer entitle: a cancellation told elsewhere may be unknown here. */
     private final Duration viewLimit;
 
-    public HostDesk(Settings settings, Replica replica, Membership membership, Committer committer, Caller http, Timeline timeline, Sessions sessions, Runnable changed) {
+    public HostDesk(Settings settings, Replica replica, Membership membership, Committer committer, Caller http, Timeline timeline, Sessions sessions, Decisions decisions, Runnable changed) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
@@ -55,6 +56,7 @@
         this.http = http;
         this.timeline = timeline;
         this.sessions = sessions;
+        this.decisions = decisions;
         this.changed = changed;
         Duration spare = settings.workers().cancel().minus(settings.workers().lease()).minus(Duration.ofSeconds(4));
         this.viewLimit = spare.compareTo(Duration.ofSeconds(2)) < 0 ? Duration.ofSeconds(2) : spare;
@@ -98,7 +100,7 @@
         } else {
             var record = new HostRecord(r.host(), r.address(), r.type(), r.zone(), r.spot(), settings.nodeName(), membership.incarnation(), r.token() + 1,
                     timeline.wallTime(), Instant.EPOCH, false, "");
-            LOG.info("machine {} reported without having been rented by us; taken up", r.host());
+            decisions.tell(LOG, "machine {} reported without having been rented by us; taken up", r.host());
             committer.propose(new Txn().guard(Keys.host(r.host()), 0).write(Keys.host(r.host()), record.toNode()), answerAfter(r, answer));
         }
     }
@@ -132,7 +134,7 @@
         }
         boolean ownerGone = !membership.isAlive(record.owner(), record.incarnation());
         if (membership.joined() && (session.strays >= 2 || ownerGone) && !committer.isLocked(Keys.host(r.host()))) {
-            LOG.info("machine {} cannot reach its controller {}; taken over", r.host(), record.owner());
+            decisions.tell(LOG, "machine {} cannot reach its controller {}; taken over", r.host(), record.owner());
             take(record, session.strays >= 2 ? timeline.wallTime().plus(KEEP) : Instant.EPOCH, answerAfter(r, answer));
         } else {
             answer.accept(421, Pack.map().put("steward", record.owner()));
@@ -216,7 +218,7 @@
                 boolean sent = e == null || !(unwrap(e) instanceof CallFailure f) || f.sent();
                 if (starts && sent && (a == null || a.status() >= 500)) {
                     s.unansweredUnder = Optional.of(token);
-                    LOG.info("machine {} did not answer a start; it is fenced before anything is concluded", record.id());
+                    decisions.tell(LOG, "machine {} did not answer a start; it is fenced before anything is concluded", record.id());
                 }
                 s.callAgainAt = timeline.now().plus(CALL_PAUSE);
             }
--- a/src/main/java/org/dunespindle/coordination/Options.java
+++ b/src/main/java/org/dunespindle/coordination/Options.java
@@ -1,11 +1,118 @@
 package org.dunespindle.coordination;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.dunespindle.protocol.Pack;
+
+/**
+ * The operators' own settings. They live in the state service; what is not set there has its default.
+ * Values are kept as plain numbers, with the unit in the name.
+ */
+public final class Options {
+    private static final Duration LONGEST_SILENCE = Duration.ofSeconds(16);
+    private final Map<String, Double> set;
+    private final Map<String, Kind> kinds;
+
+    /** An option: its range, default and meaning. */
+    private record Kind(double least, double most, boolean whole, double standard, String meaning) {}
+
+    private Options(Map<String, Double> set, Duration lease) {
+        this.set = set;
+        this.kinds = kinds(lease);
+    }
 
-/** The operators' own settings, with their defaults. */
-public record Options(Duration firstHoldTimer, Duration idleBeforeReturn, Duration idleSpotBeforeReturn, Duration silentBeforeReturn, int quarantineAfter, int bootPatience) {
     public static Options defaults(Duration lease) {
-        Duration silent = lease.compareTo(Duration.ofSeconds(16)) > 0 ? Duration.ofSeconds(16) : lease;
-        return new Options(Duration.ofSeconds(60), Duration.ofSeconds(25), Duration.ofSeconds(60), silent, 2, 3);
+        return new Options(Map.of(), lease);
+    }
+
+    private static Map<String, Kind> kinds(Duration lease) {
+        Duration silent = lease.compareTo(LONGEST_SILENCE) > 0 ? LONGEST_SILENCE : lease;
+        var k = new LinkedHashMap<String, Kind>();
+        k.put("first_hold_timer_s", new Kind(5, 3600, false, 60, "how long a gang's placement may take from its first placeholder on"));
+        k.put("idle_return_s", new Kind(0, 86_400, false, 25, "how long an ordinary machine may idle before it is given back"));
+        k.put("idle_spot_return_s", new Kind(0, 86_400, false, 60, "the same for spot machines"));
+        k.put("silent_return_s", new Kind(3, 3600, false, silent.toSeconds(), "silence after which a machine is given back and its tasks start elsewhere"));
+        k.put("quarantine_errors", new Kind(1, 100, true, 2, "failures in a row, of different jobs, after which a machine is given back"));
+        k.put("boot_patience", new Kind(1, 20, true, 3, "multiple of the boot time after which a machine that never reported is given back"));
+        k.put("spare_jobs", new Kind(0, 10, true, 1, "typical next jobs of each class with a wait aim that spare room is kept for"));
+        k.put("borrowed_machines", new Kind(0, 100_000, true, 100_000, "machines of other controllers that the leader may borrow at a time for gangs"));
+        return k;
+    }
+
+    /** The options as stored; a stored value that is out of range by now counts as not set. */
+    public static Options of(Optional<JsonNode> stored, Duration lease) {
+        var set = new LinkedHashMap<String, Double>();
+        stored.ifPresent(n -> kinds(lease).forEach((name, kind) -> {
+            if (n.has(name) && complaint(name, n.get(name), lease).isEmpty()) {
+                set.put(name, n.get(name).doubleValue());
+            }
+        }));
+        return new Options(set, lease);
+    }
+
+    /** What is wrong with a value, naming what is allowed. */
+    public static Optional<String> complaint(String name, JsonNode value, Duration lease) {
+        Kind k = kinds(lease).get(name);
+        if (k == null) {
+            return Optional.of("unknown option " + name + "; there are " + String.join(", ", kinds(lease).keySet()));
+        }
+        boolean fine = value.isNumber() && value.doubleValue() >= k.least && value.doubleValue() <= k.most && (!k.whole || value.doubleValue() == Math.rint(value.doubleValue()));
+        return fine ? Optional.empty() : Optional.of(name + " must be a " + (k.whole ? "whole number" : "number") + " from " + plain(k.least) + " to " + plain(k.most));
+    }
+
+    private static String plain(double d) {
+        return Long.toString((long) d);
+    }
+
+    private double value(String name) {
+        Double v = set.get(name);
+        return v != null ? v : kinds.get(name).standard;
+    }
+
+    private Duration seconds(String name) {
+        return Duration.ofMillis(Math.round(value(name) * 1000));
+    }
+
+    public Duration firstHoldTimer() {
+        return seconds("first_hold_timer_s");
+    }
+
+    public Duration idleBeforeReturn(boolean spot) {
+        return seconds(spot ? "idle_spot_return_s" : "idle_return_s");
+    }
+
+    public Duration silentBeforeReturn() {
+        return seconds("silent_return_s");
+    }
+
+    public int quarantineAfter() {
+        return (int) value("quarantine_errors");
+    }
+
+    public int bootPatience() {
+        return (int) value("boot_patience");
+    }
+
+    public int spareJobs() {
+        return (int) value("spare_jobs");
+    }
+
+    public int borrowedMachines() {
+        return (int) value("borrowed_machines");
+    }
+
+    /** All options with value, range, default and meaning. */
+    public ArrayNode describe() {
+        ArrayNode list = Pack.map().putArray("options");
+        kinds.forEach((name, k) -> {
+            ObjectNode o = list.addObject();
+            o.put("name", name).put("value", value(name)).put("default", k.standard).put("least", k.least).put("most", k.most).put("type", k.whole ? "whole number" : "number").put("meaning", k.meaning);
+        });
+        return list;
     }
 }
--- a/src/main/java/org/dunespindle/coordination/Peers.java
+++ b/src/main/java/org/dunespindle/coordination/Peers.java
@@ -1,6 +1,5 @@
 package org.dunespindle.coordination;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -52,7 +51,7 @@
     }
 
     public void tell(Supplier<ObjectNode> own) {
-        byte[] body = write(own.get());
+        byte[] body = Admin.write(own.get());
         for (Settings.Seed seed : settings.seeds()) {
             http.send(seed.address(), "POST", "/peer/word", body, "application/json", TIMEOUT).whenComplete((a, e) -> {
                 if (a != null && a.status() == 200) {
@@ -82,12 +81,4 @@
             // counts as no word
         }
     }
-
-    public static byte[] write(JsonNode n) {
-        try {
-            return JSON.writeValueAsBytes(n);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException(e);
-        }
-    }
 }
--- /dev/null
+++ b/src/test/java/org/dunespindle/DaemonTest.java
@@ -0,0 +1,116 @@
+package org.dunespindle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Settings;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Bad input over real sockets: always an answer, never a trace. Nothing outside answers here. */
+class DaemonTest {
+    private static Daemon daemon;
+    private static final HttpClient HTTP = HttpClient.newHttpClient();
+
+    @BeforeAll
+    static void start() throws Exception {
+        daemon = new Daemon(Settings.parse(new TomlMapper().readTree("""
+                node_name = "a"
+                front = "127.0.0.1:0"
+                peer_listen = "127.0.0.1:0"
+                [outside]
+                cloud = "127.0.0.1:1"
+                state = "127.0.0.1:1"
+                [deployment]
+                [[deployment.teams]]
+                name = "t"
+                cpus = 0.0
+                cpus_max = 0.0
+                gpus = 1.0
+                gpus_max = 9.0
+                [deployment.workers]
+                report_s = 1.0
+                lease_s = 10.0
+                gang_wait_s = 30.0
+                gang_peer_s = 5.0
+                cancel_s = 30.0
+                [deployment.state]
+                rps = 90.0
+                write_rps = 60.0
+                value_kb = 8.0
+                txn_ops = 16
+                [deployment.cloud]
+                rps = 6.0
+                list_lag_s = 3.0
+                """)));
+    }
+
+    @AfterAll
+    static void stop() {
+        daemon.close();
+    }
+
+    private static HttpResponse<byte[]> send(int port, String method, String path, byte[] body) throws IOException, InterruptedException {
+        var request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path)).version(HttpClient.Version.HTTP_1_1).method(method, HttpRequest.BodyPublishers.ofByteArray(body)).build();
+        return HTTP.send(request, HttpResponse.BodyHandlers.ofByteArray());
+    }
+
+    private static HttpResponse<byte[]> front(String method, String path, byte[] body) throws IOException, InterruptedException {
+        return send(daemon.frontAddress().getPort(), method, path, body);
+    }
+
+    private static void refused(int status, HttpResponse<byte[]> answer) throws Exception {
+        assertEquals(status, answer.statusCode());
+        String error = Pack.read(answer.body()).path("error").asText();
+        assertTrue(!error.isEmpty() && error.length() < 200 && !error.contains("Exception"), error);
+    }
+
+    @Test
+    void badInputIsAnsweredAtOnce() throws Exception {
+        byte[] none = new byte[0];
+        refused(400, front("POST", "/submissions", none));
+        refused(400, front("POST", "/submissions", new byte[] {(byte) 0xc1, 3, 4}));
+        refused(400, front("POST", "/submissions", Pack.write(Pack.map().put("id", 7))));
+        refused(400, front("POST", "/agent/beat", Pack.write(Pack.map().put("host", "h"))));
+        refused(404, front("GET", "/nothing", none));
+        refused(404, front("GET", "/submissions/a/b/c", none));
+        refused(405, front("GET", "/submissions", none));
+        refused(405, front("DELETE", "/submissions/wk-000001", none));
+        refused(413, front("POST", "/submissions", new byte[70_000]));
+    }
+
+    @Test
+    void whatCannotBeKnownIsAnsweredWithWhenToComeBack() throws Exception {
+        var poll = front("GET", "/submissions/wk-000001", new byte[0]);
+        refused(503, poll);
+        assertTrue(Integer.parseInt(poll.headers().firstValue("Retry-After").orElse("0")) >= 1);
+        assertEquals(503, front("GET", "/healthz", new byte[0]).statusCode());
+        assertEquals(503, send(daemon.peerAddress().getPort(), "GET", "/v1/jobs", new byte[0]).statusCode());
+    }
+
+    @Test
+    void pipelinedAndGarbledRequestsAreAnsweredInOrder() throws Exception {
+        try (var socket = new Socket("127.0.0.1", daemon.frontAddress().getPort())) {
+            socket.setSoTimeout(10_000);
+            String two = "GET /first HTTP/1.1\r\nHost: x\r\n\r\nGET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+            socket.getOutputStream().write(two.getBytes(StandardCharsets.US_ASCII));
+            String answers = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answers.indexOf("404") >= 0 && answers.indexOf("404") < answers.lastIndexOf("503"), answers);
+        }
+        try (var socket = new Socket("127.0.0.1", daemon.frontAddress().getPort())) {
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write("nonsense\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertTrue(new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1).contains("400"));
+        }
+    }
+}
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -15,9 +15,9 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import org.dunespindle.coordination.Admin;
 import org.dunespindle.coordination.Controller;
 import org.dunespindle.coordination.FrontDesk;
-import org.dunespindle.coordination.Peers;
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.Pack;
 import org.dunespindle.protocol.PieceId;
@@ -183,7 +183,7 @@
         if (reply == null || sim.random.nextDouble() < loss) {
             return; // executed, or not there; either way no answer comes
         }
-        byte[] bytes = address.startsWith("node") ? Peers.write(reply.body()) : Pack.write(reply.body());
+        byte[] bytes = address.startsWith("node") ? Admin.write(reply.body()) : Pack.write(reply.body());
         sim.after(delay(), () -> {
             if (!owner.isDead()) {
                 result.complete(new HttpAnswer(reply.status(), bytes));
@@ -295,6 +295,14 @@
         }
     }
 
+    /** Asks a controller's administration API; the answer comes within the next second of virtual time. */
+    public java.util.concurrent.CompletableFuture<Admin.Answer> admin(int node, String method, String path, String body) {
+        var result = new java.util.concurrent.CompletableFuture<Admin.Answer>();
+        nodes[node].admin().handle(method, path, body.getBytes(java.nio.charset.StandardCharsets.UTF_8), result::complete);
+        sim.run(sim.now().plusSeconds(1));
+        return result;
+    }
+
     public void cancel(String id) {
         Duration asked = sim.now();
         ask(n -> n.cancel(id, a -> {
