--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -74,6 +74,8 @@
     private final Histogram holdPlacement = new Histogram(3_600_000_000L, 2);
     private final Map<String, Duration> firstHold = new HashMap<>();
     private final Map<String, Duration> elsewhereSince = new HashMap<>();
+    /** The finishing times that the operators aim at, by class, shortest first. */
+    private final Map<String, List<Duration>> targets = new HashMap<>();
     private final Map<String, Duration> borrowedAt = new HashMap<>();
     private Optional<List<MachineType>> catalog = Optional.empty();
     private Planner.Plan plan = new Planner.Plan(List.of(), List.of(), List.of(), Map.of(), Set.of());
@@ -96,6 +98,8 @@
         this.fleet = new Fleet(settings, replica, membership, committer, cloud, timeline, sessions, peers, decisions, this::options, () -> catalog);
         this.admin = new Admin(settings, replica, membership, committer, decisions, this,
                 new TreeMap<>(Map.of("decisionRound", rounds, "stateCall", state.latency(), "cloudCall", cloud.latency(), "holdPlacement", holdPlacement, "accept", accepts)));
+        settings.objectives().stream().filter(o -> o.kind().equals("finished")).sorted(java.util.Comparator.comparing(Settings.Objective::within))
+                .forEach(o -> targets.computeIfAbsent(o.jobClass(), c -> new ArrayList<>()).add(o.within()));
         this.headroom = new Headroom(settings.objectives());
         this.frontDesk = new FrontDesk(settings, replica, state, committer, timeline, () -> catalog, accepts);
     }
@@ -385,7 +389,7 @@
                 impatient.add(job);
             }
         });
-        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, impatient, headroom.phantoms(options().spareJobs()));
+        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, impatient, headroom.phantoms(options().spareJobs()), targets);
     }
 
     /** Commits this controller's part of the plan: one transaction per team, which the team's ledger guards. */
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -1,5 +1,6 @@
 package org.dunespindle.coordination;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -30,7 +31,7 @@
 
     /** Everything a plan depends on. */
     public record Snapshot(Instant now, List<JobRecord> jobs, List<Host> hosts, Map<String, Settings.Team> teams, Map<String, Place> whereabouts,
-            Set<Market> refused, int mostTasksPerJob, Set<String> impatient, List<JobRecord> phantoms) {}
+            Set<Market> refused, int mostTasksPerJob, Set<String> impatient, List<JobRecord> phantoms, Map<String, List<Duration>> targets) {}
 
     /** Type, zone and kind, as the cloud rents them. */
     public record Market(String type, String zone, boolean spot) {}
@@ -81,6 +82,7 @@
     private static final class Work {
         private static final int MOST_COUNTED = 64;
         private static final int FETCH_COST = 4;
+        private static final Duration LOST_CAUSE = Duration.ofDays(1);
         private final Snapshot s;
         private final Map<String, Host> hosts = new TreeMap<>();
         private final Map<String, Resources> room = new HashMap<>();
@@ -115,7 +117,8 @@
                     if (c.stopping() || !j.open() || j.mode() == JobRecord.Mode.STOP) {
                         ending.merge(c.host(), j.job().perTask(), Resources::plus);
                     } else if (!j.job().gang()) {
-                        victims.computeIfAbsent(c.host(), h -> new ArrayList<>()).add(new Victim(j, c));
+                        // The latest booked first: they have least to lose.
+                        victims.computeIfAbsent(c.host(), h -> new ArrayList<>()).add(0, new Victim(j, c));
                     }
                 }
             }
@@ -183,8 +186,24 @@
             return a.order() != b.order() ? a.order() < b.order() : a.id().compareTo(b.id()) < 0;
         }
 
+        /**
+         * When an array's tasks should start at the latest: for its deadline, or for the nearest of its class's
+         * finishing times that it can still meet. Work that can meet none any more lets the others go first.
+         */
         private Instant urgency(JobRecord j) {
-            return j.job().due().map(d -> j.arrived().plus(d).minus(j.job().estimate())).orElse(j.arrived());
+            Submission job = j.job();
+            if (job.gang()) {
+                return j.arrived();
+            }
+            List<Duration> ends = job.due().map(List::of).orElseGet(() -> s.targets().getOrDefault(job.jobClass(), List.of()));
+            Duration atBest = job.estimate().multipliedBy(7).dividedBy(10);
+            for (Duration end : ends) {
+                Instant due = j.arrived().plus(end);
+                if (!s.now().plus(atBest).isAfter(due)) {
+                    return due.minus(job.estimate());
+                }
+            }
+            return ends.isEmpty() ? j.arrived() : j.arrived().plus(LOST_CAUSE);
         }
 
         private boolean teamAllows(Submission job, int tasks) {
--- a/src/test/java/org/dunespindle/coordination/PlannerTest.java
+++ b/src/test/java/org/dunespindle/coordination/PlannerTest.java
@@ -40,7 +40,7 @@
     private static Planner.Plan plan(List<JobRecord> jobs, List<Planner.Host> hosts) {
         var places = new HashMap<String, Planner.Place>();
         hosts.forEach(h -> places.put(h.id(), new Planner.Place(h.type(), h.zone(), h.spot())));
-        return Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), jobs, hosts, TEAMS, places, Set.of(), 100, Set.of(), List.of()));
+        return Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), jobs, hosts, TEAMS, places, Set.of(), 100, Set.of(), List.of(), Map.of("c", List.of(Duration.ofSeconds(200), Duration.ofSeconds(900)))));
     }
 
     @Property(seed = "21", tries = 200)
@@ -122,6 +122,15 @@
         assertEquals(List.of(), plan(List.of(stopping, gang), hosts).evictions());
     }
 
+    @Test
+    void workThatCanMeetNoTimeAnyMoreLetsTheOthersGoFirst() {
+        // Now is second 1000: the first came at 50 and is past both times, the second can still meet 900 s.
+        JobRecord lost = job(50, "blue", Shape.ARRAY, Priority.LOW, 1, false, false, true);
+        JobRecord open = job(600, "blue", Shape.ARRAY, Priority.LOW, 1, false, false, true);
+        Planner.Plan plan = plan(List.of(lost, open), List.of(host("a", "east", false, 1)));
+        assertEquals(List.of("wk-000600"), plan.bookings().stream().map(b -> b.job().id()).toList());
+    }
+
     @Test
     void equalPriorityNeverGivesWay() {
         JobRecord other = job(1, "blue", Shape.ARRAY, Priority.URGENT, 2, false, false, true).placed(new TreeMap<>(Map.of(0, "a", 1, "a")));
