A new leader does not return machines that it has not heard yet

Fixed: silence counts from when this process began to lead; unheard machines are expected to report for 15 s. Test: crash of all beside a long-running service. Also joins at once after reading the state, and takes over machines with tasks first. Ruled out: the startup time alone (1.9 s) as cause of lost work after such crashes.

--- a/src/main/java/org/dunespindle/Rehearsal.java
+++ b/src/main/java/org/dunespindle/Rehearsal.java
@@ -1,11 +1,12 @@
 package org.dunespindle;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.netty.channel.Channel;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -81,7 +82,8 @@
                 rps = 6.0
                 list_lag_s = 3.0
                 """.formatted(HOST, front, HOST, there, there, there);
-        try (var daemon = new Daemon(Settings.parse(new TomlMapper().readTree(file)))) {
+        Path settings = Files.writeString(Files.createTempFile("rehearsal", ".toml"), file);
+        try (var daemon = new Daemon(Settings.load(settings))) {
             var http = new HttpCaller(group.next());
             String self = HOST + ":" + front;
             Thread.sleep(LENGTH.toMillis() / 2);
@@ -95,6 +97,7 @@
             http.send(self, "POST", "/submissions/wk-1/withdraw", new byte[0], Pack.TYPE, TIMEOUT);
             Thread.sleep(LENGTH.toMillis() / 4);
         } finally {
+            Files.delete(settings);
             outside.close();
             group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS);
         }
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -98,7 +99,7 @@
         this.fleet = new Fleet(settings, replica, membership, committer, cloud, timeline, sessions, peers, decisions, this::options, () -> catalog);
         this.admin = new Admin(settings, replica, membership, committer, decisions, this,
                 new TreeMap<>(Map.of("decisionRound", rounds, "stateCall", state.latency(), "cloudCall", cloud.latency(), "holdPlacement", holdPlacement, "accept", accepts)));
-        settings.objectives().stream().filter(o -> o.kind().equals("finished")).sorted(java.util.Comparator.comparing(Settings.Objective::within))
+        settings.objectives().stream().filter(o -> o.kind().equals("finished")).sorted(Comparator.comparing(Settings.Objective::within))
                 .forEach(o -> targets.computeIfAbsent(o.jobClass(), c -> new ArrayList<>()).add(o.within()));
         this.headroom = new Headroom(settings.objectives());
         this.frontDesk = new FrontDesk(settings, replica, state, committer, timeline, () -> catalog, accepts);
@@ -236,6 +237,8 @@
     }
 
     private void round() {
+        // Not only on the heartbeat: after a crash of all controllers the workers' leases are about to end.
+        membership.tick();
         if (!replica.loaded() || membership.incarnation() == 0) {
             return;
         }
@@ -327,7 +330,9 @@
 
     /** Takes over machines whose controller is gone, and hands back or on those that hash elsewhere. */
     private void owners() {
-        for (HostRecord h : List.copyOf(replica.hosts().values())) {
+        var hosts = new ArrayList<>(replica.hosts().values());
+        hosts.sort(Comparator.comparing(h -> replica.claimsOn(h.id()).isEmpty())); // what runs is in a hurry, what idles is not
+        for (HostRecord h : hosts) {
             if (committer.isLocked(Keys.host(h.id()))) {
                 continue;
             }
@@ -552,7 +557,7 @@
             }
             for (Placed p : replica.claimsOn(h.id())) {
                 JobRecord j = p.job();
-                if (!j.open() || p.claim().stopping() || j.mode() == JobRecord.Mode.STOP || !(j.job().saves() || j.mode() == JobRecord.Mode.HOLD)) {
+                if (committer.isLocked(Keys.job(j.id())) || !j.open() || p.claim().stopping() || j.mode() == JobRecord.Mode.STOP || !(j.job().saves() || j.mode() == JobRecord.Mode.HOLD)) {
                     continue;
                 }
                 var txn = new Txn();
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -35,6 +35,7 @@
     private static final Duration RETRY = Duration.ofMillis(700);
     private static final Duration REMEMBER_GONE = Duration.ofSeconds(90);
     private static final Duration TELL_EVERY = Duration.ofSeconds(10);
+    private static final Duration EARLY = Duration.ofSeconds(15);
     private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(12);
     private static final int MOST_SLOTS = 128;
     private static final int MOST_RETURNED = 100;
@@ -97,7 +98,8 @@
 
     /** Whether a machine that has not reported yet is still worth waiting for. */
     public boolean bootsInTime(HostRecord h) {
-        return age(h).compareTo(bootTime(h).multipliedBy(2)) < 0;
+        // A controller that has just started has heard nobody yet: that says nothing about the machines.
+        return timeline.now().compareTo(EARLY) < 0 || age(h).compareTo(bootTime(h).multipliedBy(2)) < 0;
     }
 
     private Duration age(HostRecord h) {
@@ -235,7 +237,8 @@
             if (running && now.minus(seen).compareTo(options.get().silentBeforeReturn().plus(Duration.ofSeconds(20))) > 0) {
                 return Optional.of("it runs but no controller hears it");
             }
-            return age(h).compareTo(patience) > 0 ? Optional.of("it did not come up in time") : Optional.empty();
+            boolean longEnough = now.minus(leadingSince.orElse(now)).compareTo(options.get().silentBeforeReturn().plus(EARLY)) > 0;
+            return longEnough && age(h).compareTo(patience) > 0 ? Optional.of("it did not come up in time") : Optional.empty();
         }
         Duration silence = now.minus(later(heard.get(), leadingSince.orElse(now)));
         Duration limit = options.get().silentBeforeReturn().plus(membership.owns(h) || peers.word(h.owner()).isPresent() ? Duration.ZERO : Duration.ofSeconds(25));
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -133,6 +133,9 @@
         return name.matches("n[0-2]") ? name.charAt(1) - '0' : -1;
     }
 
+    /** Machines returned to the cloud so far that were alive. */
+    public int returned;
+
     public WorkerStandIn worker(int index) {
         List<WorkerStandIn> all = workers.values().stream().filter(w -> !w.dead).toList();
         return all.isEmpty() ? null : all.get(index % all.size());
@@ -219,6 +222,7 @@
             body.path("hosts").forEach(h -> {
                 WorkerStandIn w = workers.remove(h.asText());
                 if (w != null) {
+                    returned += w.dead ? 0 : 1;
                     w.dead = true;
                 }
             });
--- a/src/test/java/org/dunespindle/sim/WorldTest.java
+++ b/src/test/java/org/dunespindle/sim/WorldTest.java
@@ -91,6 +91,21 @@
         assertAllDone(world, ids);
     }
 
+    @Test
+    void controllersThatStartAnewDoNotReturnMachinesTheyHaveNotHeardYet() {
+        var world = new World(14);
+        // One service keeps a machine in use, far beyond three times its boot time.
+        world.submit(job("wk-000001", "red", Shape.SERVICE, 2, false, false));
+        world.sim.run(Duration.ofSeconds(100));
+        int before = world.returned;
+        for (int n = 0; n < 3; n++) {
+            world.crash(n, Duration.ofMillis(2000));
+        }
+        world.sim.run(Duration.ofSeconds(115));
+        assertEquals(before, world.returned);
+        assertEquals(List.of(), world.broken);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {21, 22, 23})
     void cancelledJobsVanishInTime(long seed) {
