--- /dev/null
+++ b/src/main/java/org/dunespindle/bookkeeping/MeteredCaller.java
@@ -0,0 +1,48 @@
+package org.dunespindle.bookkeeping;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.HdrHistogram.Histogram;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.transport.Caller;
+import org.dunespindle.transport.HttpAnswer;
+
+/** Calls one outside service within a budget and measures how long it takes to answer. */
+public final class MeteredCaller {
+    private static final long LONGEST_MICROS = 60_000_000L;
+    private final Caller http;
+    private final String address;
+    private final Timeline timeline;
+    private final RateBudget budget;
+    private final Duration timeout;
+    private final Histogram latency = new Histogram(LONGEST_MICROS, 2);
+
+    public MeteredCaller(Caller http, String address, Timeline timeline, RateBudget budget, Duration timeout) {
+        this.http = http;
+        this.address = address;
+        this.timeline = timeline;
+        this.budget = budget;
+        this.timeout = timeout;
+    }
+
+    public Histogram latency() {
+        return latency;
+    }
+
+    /** Sends a MessagePack request once the budget allows; renewals go first. */
+    public CompletableFuture<HttpAnswer> call(boolean first, String method, String target, byte[] body) {
+        var result = new CompletableFuture<HttpAnswer>();
+        budget.submit(first, 1, () -> {
+            Duration begun = timeline.now();
+            http.send(address, method, target, body, Pack.TYPE, timeout).whenComplete((a, e) -> {
+                latency.recordValue(Math.min(LONGEST_MICROS, timeline.now().minus(begun).toNanos() / 1000));
+                if (e != null) {
+                    result.completeExceptionally(e);
+                } else {
+                    result.complete(a);
+                }
+            });
+        });
+        return result;
+    }
+}
--- a/src/main/java/org/dunespindle/bookkeeping/RateBudget.java
+++ b/src/main/java/org/dunespindle/bookkeeping/RateBudget.java
@@ -33,16 +33,6 @@
         drain();
     }
 
-    /** How long ordinary work that asks now would have to wait. */
-    public Duration backlog() {
-        double queued = 0;
-        for (Waiting w : normal) {
-            queued += w.cost;
-        }
-        refill();
-        return Duration.ofNanos((long) (Math.max(0, queued - tokens) / perSecond * 1e9));
-    }
-
     private void refill() {
         Duration now = timeline.now();
         tokens = Math.min(burst, tokens + now.minus(filledAt).toNanos() / 1e9 * perSecond);
--- a/src/main/java/org/dunespindle/bookkeeping/StateClient.java
+++ b/src/main/java/org/dunespindle/bookkeeping/StateClient.java
@@ -15,22 +15,18 @@
 /** The state service, called within this controller's share of its rates. */
 public final class StateClient {
     private static final Duration TIMEOUT = Duration.ofMillis(1800);
-    private final Caller http;
-    private final String address;
-    private final Timeline timeline;
-    private final RateBudget requests;
+    /** Controllers' clocks differ a little, so their shares leave some of the rate unused. */
+    private static final double SAFE_PART = 0.9;
+    private final MeteredCaller service;
     private final RateBudget writes;
-    private final Histogram latency = new Histogram(60_000_000L, 2);
     private int failuresInARow;
-    private Duration lastServed = Duration.ZERO;
 
     public StateClient(Caller http, Settings settings, Timeline timeline) {
-        this.http = http;
-        this.address = settings.stateAddress();
-        this.timeline = timeline;
         int sharers = settings.seeds().size() + 1;
-        this.requests = new RateBudget(timeline, 0.9 * settings.state().rps() / sharers, 0.9 * settings.state().rps() / sharers);
-        this.writes = new RateBudget(timeline, 0.9 * settings.state().writeRps() / sharers, Math.max(0.9 * settings.state().writeRps() / sharers, settings.state().txnOps()));
+        double requestShare = SAFE_PART * settings.state().rps() / sharers;
+        double writeShare = SAFE_PART * settings.state().writeRps() / sharers;
+        this.service = new MeteredCaller(http, settings.stateAddress(), timeline, new RateBudget(timeline, requestShare, requestShare), TIMEOUT);
+        this.writes = new RateBudget(timeline, writeShare, Math.max(writeShare, settings.state().txnOps()));
     }
 
     /** Whether the last requests went unserved; tells when to refuse at once instead of trying. */
@@ -38,18 +34,8 @@
         return failuresInARow >= 2;
     }
 
-    public Duration lastServed() {
-        return lastServed;
-    }
-
-    public Duration backlog() {
-        Duration a = requests.backlog();
-        Duration b = writes.backlog();
-        return a.compareTo(b) > 0 ? a : b;
-    }
-
     public Histogram latency() {
-        return latency;
+        return service.latency();
     }
 
     /** A page of keys; fails unless it was answered with 200. */
@@ -121,23 +107,9 @@
     }
 
     private CompletableFuture<HttpAnswer> call(boolean first, String method, String target, byte[] body) {
-        var result = new CompletableFuture<HttpAnswer>();
-        requests.submit(first, 1, () -> {
-            Duration begun = timeline.now();
-            http.send(address, method, target, body, Pack.TYPE, TIMEOUT).whenComplete((a, e) -> {
-                boolean served = a != null && a.status() != 503 && a.status() != 429;
-                failuresInARow = served ? 0 : failuresInARow + 1;
-                if (served) {
-                    lastServed = timeline.now();
-                    latency.recordValue(Math.min(60_000_000L, timeline.now().minus(begun).toNanos() / 1000));
-                }
-                if (e != null) {
-                    result.completeExceptionally(e);
-                } else {
-                    result.complete(a);
-                }
-            });
+        return service.call(first, method, target, body).whenComplete((a, e) -> {
+            boolean served = a != null && a.status() != 503 && a.status() != 429;
+            failuresInARow = served ? 0 : failuresInARow + 1;
         });
-        return result;
     }
 }
--- a/src/main/java/org/dunespindle/coordination/CloudClient.java
+++ b/src/main/java/org/dunespindle/coordination/CloudClient.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.HdrHistogram.Histogram;
+import org.dunespindle.bookkeeping.MeteredCaller;
 import org.dunespindle.bookkeeping.RateBudget;
 import org.dunespindle.bookkeeping.Timeline;
 import org.dunespindle.protocol.ListedMachine;
@@ -22,25 +23,20 @@
 public final class CloudClient {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final int PAGE = 500;
-    private final Caller http;
-    private final String address;
-    private final Timeline timeline;
-    private final RateBudget budget;
-    private final Histogram latency = new Histogram(60_000_000L, 2);
+    /** Only the leader makes more than a rare call, so it gets most of the rate; the rest is for the others' catalogs. */
+    private static final double LEADERS_PART = 0.7;
+    private final MeteredCaller service;
 
     /** A rental's outcome: machines, or a refusal for want of capacity. */
     public record Rented(List<String> hosts, boolean noCapacity) {}
 
     public CloudClient(Caller http, Settings settings, Timeline timeline) {
-        this.http = http;
-        this.address = settings.cloudAddress();
-        this.timeline = timeline;
-        // Only the leader makes more than a rare call, so it gets most of the rate; the rest is for the others' catalogs.
-        this.budget = new RateBudget(timeline, 0.7 * settings.cloud().rps(), Math.max(1, 0.7 * settings.cloud().rps()));
+        double rate = LEADERS_PART * settings.cloud().rps();
+        this.service = new MeteredCaller(http, settings.cloudAddress(), timeline, new RateBudget(timeline, rate, rate), TIMEOUT);
     }
 
     public Histogram latency() {
-        return latency;
+        return service.latency();
     }
 
     public CompletableFuture<List<MachineType>> catalog() {
@@ -109,18 +105,6 @@
     }
 
     private CompletableFuture<HttpAnswer> call(String method, String target, byte[] body) {
-        var result = new CompletableFuture<HttpAnswer>();
-        budget.submit(false, 1, () -> {
-            Duration begun = timeline.now();
-            http.send(address, method, target, body, Pack.TYPE, TIMEOUT).whenComplete((a, e) -> {
-                latency.recordValue(Math.min(60_000_000L, timeline.now().minus(begun).toNanos() / 1000));
-                if (e != null) {
-                    result.completeExceptionally(e);
-                } else {
-                    result.complete(a);
-                }
-            });
-        });
-        return result;
+        return service.call(false, method, target, body);
     }
 }
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -48,6 +48,7 @@
     private static final Duration WORD_EVERY = Duration.ofMillis(1000);
     private static final Duration SYNC_EVERY = Duration.ofMillis(300);
     private static final Duration CATALOG_EVERY = Duration.ofSeconds(60);
+    private static final Duration CATALOG_PATIENCE = Duration.ofSeconds(10);
     private static final Duration PLACING_VIEW = Duration.ofSeconds(3);
     private static final Duration IMPATIENT_AFTER = Duration.ofMillis(1500);
     private static final Duration LENT_AT_LEAST = Duration.ofSeconds(10);
@@ -158,7 +159,9 @@
 
     /** Whether users' requests can be served here. In an outage that all share, staying in is better than all leaving. */
     public boolean healthy() {
-        if (!replica.loaded() || catalog.isEmpty() || membership.incarnation() == 0) {
+        // Polls need no catalog, so a cloud that stays silent must not keep users out for good.
+        boolean catalogAwaited = catalog.isEmpty() && timeline.now().compareTo(CATALOG_PATIENCE) < 0;
+        if (!replica.loaded() || catalogAwaited || membership.incarnation() == 0) {
             return false;
         }
         boolean othersSee = peers.all().keySet().stream().map(peers::word).flatMap(Optional::stream).anyMatch(w -> w.viewAge().compareTo(PLACING_VIEW) < 0);
--- a/src/test/java/org/dunespindle/DaemonTest.java
+++ b/src/test/java/org/dunespindle/DaemonTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.URI;
@@ -24,35 +23,7 @@
 
     @BeforeAll
     static void start() throws Exception {
-        daemon = new Daemon(Settings.parse(new TomlMapper().readTree("""
-                node_name = "a"
-                front = "127.0.0.1:0"
-                peer_listen = "127.0.0.1:0"
-                [outside]
-                cloud = "127.0.0.1:1"
-                state = "127.0.0.1:1"
-                [deployment]
-                [[deployment.teams]]
-                name = "t"
-                cpus = 0.0
-                cpus_max = 0.0
-                gpus = 1.0
-                gpus_max = 9.0
-                [deployment.workers]
-                report_s = 1.0
-                lease_s = 10.0
-                gang_wait_s = 30.0
-                gang_peer_s = 5.0
-                cancel_s = 30.0
-                [deployment.state]
-                rps = 90.0
-                write_rps = 60.0
-                value_kb = 8.0
-                txn_ops = 16
-                [deployment.cloud]
-                rps = 6.0
-                list_lag_s = 3.0
-                """)));
+        daemon = new Daemon(Settings.parse(TestSettings.node("a", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:1", "127.0.0.1:1", "")));
     }
 
     @AfterAll
--- a/src/test/java/org/dunespindle/protocol/FormatsTest.java
+++ b/src/test/java/org/dunespindle/protocol/FormatsTest.java
@@ -6,7 +6,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -16,6 +15,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.dunespindle.TestSettings;
 import org.junit.jupiter.api.Test;
 
 /** Messages: what is written can be read, and nothing that is read can do more than be refused. */
@@ -111,38 +111,9 @@
 
     @Test
     void brokenSettingsNameTheField() throws Exception {
-        JsonNode good = new TomlMapper().readTree("""
-                node_name = "a"
-                front = "127.0.0.1:1"
-                peer_listen = "127.0.0.1:2"
-                [outside]
-                cloud = "127.0.0.1:3"
-                state = "127.0.0.1:4"
-                [deployment]
-                new_thing = 1
-                [[deployment.teams]]
-                name = "t"
-                cpus = 0.0
-                cpus_max = 0.0
-                gpus = 1.0
-                gpus_max = 2.0
-                [deployment.workers]
-                report_s = 1.0
-                lease_s = 10.0
-                gang_wait_s = 30.0
-                gang_peer_s = 5.0
-                cancel_s = 30.0
-                [deployment.state]
-                rps = 9.0
-                write_rps = 9.0
-                value_kb = 8.0
-                txn_ops = 16
-                [deployment.cloud]
-                rps = 6.0
-                list_lag_s = 3.0
-                """);
+        JsonNode good = TestSettings.node("a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "");
         Settings s = Settings.parse(good);
-        assertEquals(Double.POSITIVE_INFINITY, s.teams().get("t").cpusMax());
+        assertEquals(Double.POSITIVE_INFINITY, s.teams().get("red").cpusMax());
         ((ObjectNode) good.at("/deployment/workers")).put("lease_s", "soon");
         assertTrue(assertThrows(MalformedException.class, () -> Settings.parse(good)).getMessage().contains("deployment.workers.lease_s"));
         ((ObjectNode) good).put("front", "nowhere");
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -2,8 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -15,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import org.dunespindle.TestSettings;
 import org.dunespindle.coordination.Admin;
 import org.dunespindle.coordination.Controller;
 import org.dunespindle.coordination.FrontDesk;
@@ -70,47 +69,9 @@
                 seeds.append("[[seeds]]\nnode_name = \"n%d\"\narea = \"east\"\naddress = \"node:%d\"\n".formatted(k, k));
             }
         }
-        String file = """
-                node_name = "n%d"
-                area = "east"
-                front = "127.0.0.1:1"
-                peer_listen = "127.0.0.1:2"
-                %s
-                [outside]
-                cloud = "cloud:1"
-                state = "state:1"
-                [deployment]
-                zones = ["east", "west"]
-                [[deployment.teams]]
-                name = "red"
-                cpus = 0.0
-                cpus_max = 0.0
-                gpus = 4.0
-                gpus_max = 10.0
-                [[deployment.teams]]
-                name = "blue"
-                cpus = 0.0
-                cpus_max = 0.0
-                gpus = 2.0
-                gpus_max = 6.0
-                [deployment.workers]
-                report_s = 1.0
-                lease_s = 10.0
-                gang_wait_s = 30.0
-                gang_peer_s = 5.0
-                cancel_s = 30.0
-                [deployment.state]
-                rps = 300.0
-                write_rps = 150.0
-                value_kb = 8.0
-                txn_ops = 16
-                [deployment.cloud]
-                rps = 8.0
-                list_lag_s = 3.0
-                """.formatted(i, seeds);
         try {
-            return Settings.parse(new TomlMapper().readTree(file));
-        } catch (IOException | MalformedException e) {
+            return Settings.parse(TestSettings.node("n" + i, "127.0.0.1:1", "127.0.0.1:2", "cloud:1", "state:1", seeds.toString()));
+        } catch (MalformedException e) {
             throw new IllegalStateException(e);
         }
     }
