--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -73,6 +73,8 @@
     private final Headroom headroom;
     private final Histogram accepts = new Histogram(60_000_000L, 2);
     private final Histogram rounds = new Histogram(60_000_000L, 2);
+    private final Histogram replacement = new Histogram(3_600_000_000L, 2);
+    private final Map<String, Duration> replacingSince = new HashMap<>();
     private final Histogram holdPlacement = new Histogram(3_600_000_000L, 2);
     private final Map<String, Duration> firstHold = new HashMap<>();
     private final Map<String, Duration> elsewhereSince = new HashMap<>();
@@ -99,7 +101,7 @@
         this.cloud = new CloudClient(http, settings, timeline);
         this.fleet = new Fleet(settings, replica, membership, committer, cloud, timeline, sessions, peers, decisions, this::options, () -> catalog);
         this.admin = new Admin(settings, replica, membership, committer, decisions, this,
-                new TreeMap<>(Map.of("decisionRound", rounds, "stateCall", state.latency(), "cloudCall", cloud.latency(), "holdPlacement", holdPlacement, "accept", accepts)));
+                new TreeMap<>(Map.of("decisionRound", rounds, "stateCall", state.latency(), "cloudCall", cloud.latency(), "holdPlacement", holdPlacement, "replacement", replacement, "accept", accepts)));
         settings.objectives().stream().filter(o -> o.kind().equals("finished")).sorted(Comparator.comparing(Settings.Objective::within))
                 .forEach(o -> targets.computeIfAbsent(o.jobClass(), c -> new ArrayList<>()).add(o.within()));
         this.headroom = new Headroom(settings.objectives());
@@ -506,6 +508,9 @@
         Duration now = timeline.now();
         var holding = new HashSet<String>();
         for (JobRecord j : replica.livingJobs()) {
+            if (replacingSince.containsKey(j.id()) && j.mode() == JobRecord.Mode.REAL && allIn(j, TaskPhase.RUNNING)) {
+                replacement.recordValue(Math.min(3_600_000_000L, now.minus(replacingSince.remove(j.id())).toNanos() / 1000));
+            }
             if (!j.open() || !j.job().gang() || j.mode() != JobRecord.Mode.HOLD) {
                 continue;
             }
@@ -515,9 +520,10 @@
             Duration limit = all ? options().firstHoldTimer().plus(settings.workers().gangWait()).plus(Duration.ofSeconds(30)) : options().firstHoldTimer();
             var txn = new Txn();
             guardLeader(txn);
-            if (all && allAssembling(j) && !committer.isLocked(Keys.job(j.id()))) {
+            if (all && allIn(j, TaskPhase.ASSEMBLING) && !committer.isLocked(Keys.job(j.id()))) {
                 holdPlacement.recordValue(Math.min(3_600_000_000L, since.toNanos() / 1000));
                 decisions.tell(LOG, "gang {}: all {} placeholders are placed; real tasks replace them", j.id(), j.job().tasks());
+                replacingSince.put(j.id(), now);
                 change(j, j.real(), txn, r -> { });
             } else if (since.compareTo(limit) > 0) {
                 decisions.tell(LOG, "gang {}: its placement ended after {} s with {} of {} placeholders; queued again", j.id(), since.toSeconds(), j.claims().size(), j.job().tasks());
@@ -527,6 +533,7 @@
             }
         }
         firstHold.keySet().retainAll(holding);
+        replacingSince.keySet().removeIf(id -> replica.job(id).filter(JobRecord::open).isEmpty());
     }
 
     private void borrowHolds(JobRecord j) {
@@ -538,14 +545,15 @@
         }
     }
 
-    private boolean allAssembling(JobRecord j) {
+    /** Whether every member is reported in a phase, by machines commanded here. */
+    private boolean allIn(JobRecord j, TaskPhase phase) {
         for (Claim c : j.claims()) {
             HostRecord h = replica.hosts().get(c.host());
             if (h == null || !hostDesk.ready(h) || sessions.of(h.id()).calling) {
                 return false;
             }
             Optional<TaskStatus> t = sessions.of(h.id()).report.get().find(new PieceId(j.id(), c.task()), j.wantedAttempt(c));
-            if (t.filter(x -> x.phase() == TaskPhase.ASSEMBLING).isEmpty()) {
+            if (t.filter(x -> x.phase() == phase).isEmpty()) {
                 return false;
             }
         }
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -49,6 +49,11 @@
     private final Map<String, Duration> overAt = new HashMap<>();
     private final Map<String, String> told = new HashMap<>();
     private final Map<String, List<String>> charters = new HashMap<>();
+    /** The one controller that the state service refuses, or -1. */
+    public int refusedNode = -1;
+    /** The next rental is carried out late and not answered. */
+    public boolean lateRentals;
+    private final Set<String> blocked = new HashSet<>();
     public double loss;
     public double repeat;
     private int nextMachine = 1;
@@ -79,7 +84,7 @@
     private void boot(int i) {
         var process = sim.new Process();
         processes[i] = process;
-        nodes[i] = new Controller(settings(i), caller(process), process);
+        nodes[i] = new Controller(settings(i), caller(process, i), process);
         nodes[i].start();
     }
 
@@ -112,11 +117,16 @@
         sim.after(length, () -> w.cut = false);
     }
 
+    /** From now on a controller and a machine cannot reach each other. */
+    public void block(int node, WorkerStandIn w) {
+        blocked.add(node + w.id);
+    }
+
     private long delay() {
         return 2 + sim.random.nextInt(15) + (sim.random.nextInt(50) == 0 ? 300 : 0);
     }
 
-    private Caller caller(Sim.Process owner) {
+    private Caller caller(Sim.Process owner, int from) {
         return (address, method, target, body, type, timeout) -> {
             var result = new CompletableFuture<HttpAnswer>();
             sim.after(timeout, () -> {
@@ -126,21 +136,29 @@
             });
             boolean twice = sim.random.nextDouble() < repeat && address.startsWith("worker");
             for (int copy = 0; copy < (twice ? 2 : 1); copy++) {
-                sim.after(delay() + copy * sim.random.nextInt(8000), () -> deliver(owner, address, method, target, body, result));
+                sim.after(delay() + copy * sim.random.nextInt(8000), () -> deliver(owner, from, address, method, target, body, result));
             }
             return result;
         };
     }
 
-    private void deliver(Sim.Process owner, String address, String method, String target, byte[] body, CompletableFuture<HttpAnswer> result) {
+    private void deliver(Sim.Process owner, int from, String address, String method, String target, byte[] body, CompletableFuture<HttpAnswer> result) {
         WorkerStandIn w = address.startsWith("worker") ? workers.get("i-" + address.substring(7)) : null;
         if (w != null && w.cut && !w.dead) {
-            sim.after(500, () -> deliver(owner, address, method, target, body, result)); // held back, delivered late
+            sim.after(500, () -> deliver(owner, from, address, method, target, body, result)); // held back, delivered late
+            return;
+        }
+        if (w != null && blocked.contains(from + w.id)) {
+            return;
+        }
+        if (lateRentals && address.startsWith("cloud") && target.equals("/rentals")) {
+            lateRentals = false; // carried out half a minute later, and never answered
+            sim.after(30_000, () -> deliver(owner, from, address, method, target, body, new CompletableFuture<>()));
             return;
         }
         StateStandIn.Reply reply;
         try {
-            reply = reply(address, method, target, address.startsWith("node") ? null : body.length == 0 ? Pack.map() : Pack.read(body), body, w);
+            reply = from == refusedNode && address.startsWith("state") ? new StateStandIn.Reply(503, Pack.map()) : reply(address, method, target, address.startsWith("node") ? null : body.length == 0 ? Pack.map() : Pack.read(body), body, w);
         } catch (MalformedException e) {
             throw new IllegalStateException(e);
         }
@@ -216,7 +234,7 @@
         Sim.Process target = processes[node];
         Controller c = nodes[node];
         sim.after(delay(), () -> {
-            if (c == null || target.isDead() || from.cut || from.dead) {
+            if (c == null || target.isDead() || from.cut || from.dead || blocked.contains(node + from.id)) {
                 return;
             }
             try {
--- a/src/test/java/org/dunespindle/sim/WorldTest.java
+++ b/src/test/java/org/dunespindle/sim/WorldTest.java
@@ -106,6 +106,46 @@
         assertEquals(List.of(), world.broken);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {41, 42, 43})
+    void oneControllerAloneRefusedByTheStateServiceHarmsNobody(long seed) {
+        var world = new World(seed);
+        List<String> ids = submitMix(world, 12);
+        int node = (int) (seed % 3);
+        world.sim.after(9000, () -> world.refusedNode = node);
+        world.sim.after(40_000, () -> world.refusedNode = -1);
+        world.sim.run(Duration.ofSeconds(300));
+        assertAllDone(world, ids);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {51, 52, 53})
+    void machinesThatReachOnlyOneControllerAreTakenOverByIt(long seed) {
+        var world = new World(seed);
+        List<String> ids = submitMix(world, 12);
+        world.sim.after(10_000, () -> {
+            for (int m = 0; m < 4; m++) {
+                for (int n = 0; n < 3; n++) {
+                    if (n != m % 3 && world.worker(m) != null) {
+                        world.block(n, world.worker(m));
+                    }
+                }
+            }
+        });
+        world.sim.run(Duration.ofSeconds(400));
+        assertAllDone(world, ids);
+    }
+
+    @Test
+    void machinesRentedLateAreUsedOrReturned() {
+        var world = new World(61);
+        world.lateRentals = true;
+        List<String> ids = submitMix(world, 6);
+        world.sim.run(Duration.ofSeconds(400));
+        assertAllDone(world, ids);
+        assertEquals(null, world.worker(0), "idle machines are given back, the late ones too");
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {21, 22, 23})
     void cancelledJobsVanishInTime(long seed) {
