--- a/src/main/java/org/dunespindle/bookkeeping/Replica.java
+++ b/src/main/java/org/dunespindle/bookkeeping/Replica.java
@@ -99,6 +99,12 @@
         return exists(key) ? stamps.get(key) : 0;
     }
 
+    /** The change of a machine's record that only succeeds if nobody else changed it since it was read here. */
+    public Txn rewrite(HostRecord changed) {
+        String key = Keys.host(changed.id());
+        return new Txn().guard(key, stamp(key)).write(key, changed.toNode());
+    }
+
     private boolean exists(String key) {
         if (key.startsWith(Keys.JOB)) {
             return jobs.containsKey(key.substring(Keys.JOB.length()));
--- a/src/main/java/org/dunespindle/coordination/Admin.java
+++ b/src/main/java/org/dunespindle/coordination/Admin.java
@@ -172,7 +172,7 @@
             return;
         }
         String key = Keys.host(id);
-        commit(new Txn().guard(key, replica.stamp(key)).write(key, h.leaving(HostRecord.DRAINED).toNode()), key, answer, () -> new Answer(200, Pack.map().put("id", id).put("leaving", true)));
+        commit(replica.rewrite(h.leaving(HostRecord.DRAINED)), key, answer, () -> new Answer(200, Pack.map().put("id", id).put("leaving", true)));
     }
 
     private void commit(Txn txn, String key, Consumer<Answer> answer, java.util.function.Supplier<Answer> good) {
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -148,10 +148,6 @@
         return peers;
     }
 
-    public Replica replica() {
-        return replica;
-    }
-
     public void start() {
         replica.start();
         fetchCatalog();
@@ -181,7 +177,6 @@
     }
 
     private void heartbeat() {
-        membership.tick();
         wake();
         timeline.after(ROUND_AT_LEAST_EVERY, this::heartbeat);
     }
@@ -242,7 +237,7 @@
     }
 
     private void round() {
-        // Not only on the heartbeat: after a crash of all controllers the workers' leases are about to end.
+        // In every round, not only on the heartbeat: after a crash of all controllers the workers' leases are about to end.
         membership.tick();
         if (!replica.loaded() || membership.incarnation() == 0) {
             return;
@@ -367,8 +362,7 @@
                 && !sessions.of(h.id()).calling && sessions.of(h.id()).unansweredUnder.isEmpty() && !plan.wantedHosts().contains(h.id());
         Optional<Long> inc = membership.incarnationOf(to);
         if (calm && inc.isPresent() && peers.word(to).isPresent() && !hasGang(h)) {
-            String key = Keys.host(h.id());
-            committer.propose(new Txn().guard(key, replica.stamp(key)).write(key, h.ownedBy(to, inc.get(), Instant.EPOCH).toNode()), r -> { });
+            committer.propose(replica.rewrite(h.ownedBy(to, inc.get(), Instant.EPOCH)), r -> { });
         }
     }
 
@@ -588,13 +582,4 @@
         }
         return changed;
     }
-
-    /** Why jobs wait, by the last plan. */
-    public Map<String, String> reasons() {
-        return plan.reasons();
-    }
-
-    public Membership membership() {
-        return membership;
-    }
 }
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -54,7 +54,6 @@
     private final Map<String, Duration> goneAt = new HashMap<>();
     private final Map<String, Duration> idleSince = new HashMap<>();
     private final Map<String, Duration> firstSeen = new HashMap<>();
-    private final Set<String> everHeard = new HashSet<>();
     private Map<String, ListedMachine> listed = Map.of();
     private Optional<Duration> leadingSince = Optional.empty();
     private Duration listAgainAt = Duration.ZERO;
@@ -107,7 +106,7 @@
     }
 
     private Duration bootTime(HostRecord h) {
-        return catalog.get().flatMap(c -> c.stream().filter(t -> t.name().equals(h.type())).findFirst()).map(MachineType::boot).orElse(Duration.ofSeconds(60));
+        return known(h.type()).map(MachineType::boot).orElse(Duration.ofSeconds(60));
     }
 
     /** When any controller last heard a machine. */
@@ -198,7 +197,7 @@
                 committer.propose(new Txn().guard(key, replica.stamp(key)).remove(key), r -> {
                     if (r instanceof TxnResult.Applied) {
                         sessions.drop(h.id());
-                        everHeard.remove(h.id());
+                        firstSeen.remove(h.id());
                     }
                 });
             }
@@ -229,7 +228,6 @@
             return Optional.of("it fails its tasks");
         }
         Optional<Duration> heard = heard(h.id());
-        heard.ifPresent(t -> everHeard.add(h.id()));
         if (heard.isEmpty()) {
             Duration patience = bootTime(h).multipliedBy(options.get().bootPatience());
             Duration seen = firstSeen.computeIfAbsent(h.id(), k -> now);
@@ -259,9 +257,8 @@
     }
 
     private void leave(HostRecord h, String why) {
-        String key = Keys.host(h.id());
         decisions.tell(LOG, "machine {} is given back: {}", h.id(), why);
-        committer.propose(new Txn().guard(key, replica.stamp(key)).write(key, h.leaving(why).toNode()), r -> { });
+        committer.propose(replica.rewrite(h.leaving(why)), r -> { });
     }
 
     private void giveBack() {
@@ -380,16 +377,15 @@
     }
 
     private int fits(Resources one, String typeName) {
-        Resources size = catalog.get().orElse(List.of()).stream().filter(t -> t.name().equals(typeName)).findFirst().map(MachineType::size).orElse(Resources.NONE);
-        int n = 0;
-        while (n < MOST_SLOTS && one.times(n + 1).fitsIn(size)) {
-            n++;
-        }
-        return n;
+        return Planner.fitCount(one, known(typeName).map(MachineType::size).orElse(Resources.NONE), MOST_SLOTS);
+    }
+
+    private Optional<MachineType> known(String name) {
+        return catalog.get().flatMap(types -> types.stream().filter(t -> t.name().equals(name)).findFirst());
     }
 
     private MachineType type(String name) {
-        return catalog.get().orElseThrow().stream().filter(t -> t.name().equals(name)).findFirst().orElseThrow();
+        return known(name).orElseThrow();
     }
 
     /** Allowed markets that were not refused lately, cheapest first, then the zone with fewest machines. */
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -143,8 +143,7 @@
 
     /** Becomes a machine's owner by raising its token. */
     public void take(HostRecord record, Instant keep, Consumer<TxnResult> then) {
-        String key = Keys.host(record.id());
-        committer.propose(new Txn().guard(key, replica.stamp(key)).write(key, record.ownedBy(settings.nodeName(), membership.incarnation(), keep).toNode()), then);
+        committer.propose(replica.rewrite(record.ownedBy(settings.nodeName(), membership.incarnation(), keep)), then);
     }
 
     /** Whether conclusions about this machine may be drawn and orders given here and now. */
@@ -189,11 +188,10 @@
 
     /** A start that went unanswered may still land: a higher token, once the worker has seen it, rules that out. */
     private void fence(HostRecord record, Sessions.Session s) {
-        String key = Keys.host(record.id());
         if (record.token() > s.unansweredUnder.get()) {
             s.unansweredUnder = Optional.empty();
-        } else if (!committer.isLocked(key)) {
-            committer.propose(new Txn().guard(key, replica.stamp(key)).write(key, record.fenced().toNode()), r -> { });
+        } else if (!committer.isLocked(Keys.host(record.id()))) {
+            committer.propose(replica.rewrite(record.fenced()), r -> { });
         }
     }
 
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -79,6 +79,15 @@
         return within;
     }
 
+    /** How many of the same size fit into some room. */
+    static int fitCount(Resources one, Resources free, int most) {
+        int n = 0;
+        while (n < most && one.times(n + 1).fitsIn(free)) {
+            n++;
+        }
+        return n;
+    }
+
     private static final class Work {
         private static final int MOST_COUNTED = 64;
         private static final int FETCH_COST = 4;
@@ -159,7 +168,7 @@
         /** Keeps or asks for room for a job that has not come yet; it is wanted, but nothing is booked or evicted. */
         private void spare(JobRecord phantom) {
             var zones = new Zones(phantom);
-            var candidates = candidates(phantom.job(), h -> true);
+            var candidates = candidates(phantom.job());
             int missing = 0;
             for (int i = 0; i < phantom.job().tasks(); i++) {
                 Optional<Host> best = best(phantom.job(), candidates, zones, false);
@@ -207,8 +216,7 @@
         }
 
         private boolean teamAllows(Submission job, int tasks) {
-            Settings.Team team = s.teams().get(job.team());
-            return team != null && team.withinLimit(use.getOrDefault(job.team(), Resources.NONE).plus(job.perTask().times(tasks)));
+            return withinLimit(job, Resources.NONE, tasks);
         }
 
         private boolean allowed(Submission job, Host h) {
@@ -216,9 +224,12 @@
         }
 
         private boolean rentable(Submission job, int tasks) {
+            return withinLimit(job, pending.getOrDefault(job.team(), Resources.NONE), tasks);
+        }
+
+        private boolean withinLimit(Submission job, Resources besides, int tasks) {
             Settings.Team team = s.teams().get(job.team());
-            Resources sum = use.getOrDefault(job.team(), Resources.NONE).plus(pending.getOrDefault(job.team(), Resources.NONE)).plus(job.perTask().times(tasks));
-            return team != null && team.withinLimit(sum);
+            return team != null && team.withinLimit(use.getOrDefault(job.team(), Resources.NONE).plus(besides).plus(job.perTask().times(tasks)));
         }
 
         private boolean bookable(Host h) {
@@ -237,7 +248,7 @@
             var places = new LinkedHashMap<Integer, String>();
             int waiting = 0;
             var zones = new Zones(j);
-            var candidates = candidates(job, h -> true);
+            var candidates = candidates(job);
             boolean ownOnly = s.impatient().contains(j.id());
             int fresh = 0;
             for (int task : j.unplaced(s.mostTasksPerJob())) {
@@ -274,10 +285,10 @@
             }
         }
 
-        private List<Host> candidates(Submission job, java.util.function.Predicate<Host> also) {
+        private List<Host> candidates(Submission job) {
             var list = new ArrayList<Host>();
             for (Host h : hosts.values()) {
-                if (allowed(job, h) && also.test(h)) {
+                if (allowed(job, h)) {
                     list.add(h);
                 }
             }
@@ -351,7 +362,7 @@
             var zones = new Zones(j);
             var places = new LinkedHashMap<Integer, String>();
             int unplaced = 0;
-            var candidates = candidates(job, h -> true);
+            var candidates = candidates(job);
             var up = candidates.stream().filter(Host::up).toList();
             for (int task : j.unplaced(job.tasks())) {
                 // Lower work gives way before the gang waits for a machine to boot; that machine then takes the lower work.
@@ -393,7 +404,7 @@
         private Optional<String> zoneFor(JobRecord j, int missing) {
             Submission job = j.job();
             var scores = new TreeMap<String, Double>();
-            for (Host h : candidates(job, x -> true)) {
+            for (Host h : candidates(job)) {
                 int fits = fitCount(job.perTask(), room.get(h.id()), missing);
                 int emptied = fitCount(job.perTask(), withVictims(h, j), missing);
                 scores.merge(h.zone(), (h.up() ? 3.0 : 1.5) * fits + Math.max(0, emptied - fits) + (h.images().contains(job.image()) ? 0.2 * fits : 0), Double::sum);
@@ -414,17 +425,9 @@
             return r;
         }
 
-        private static int fitCount(Resources one, Resources free, int most) {
-            int n = 0;
-            while (n < most && one.times(n + 1).fitsIn(free)) {
-                n++;
-            }
-            return n;
-        }
-
         /**
-         * Only work that would be planned after the job may give way to it: otherwise it would take the freed room
-         * back at once, and the job would evict again and again.
+         * Priority decides both who gives way and who is planned first: were that not the same order, lower work would
+         * take the freed room back at once, and the job would evict again and again.
          */
         private boolean mayEvict(JobRecord j, Victim v) {
             return v.job().job().priority().compareTo(j.job().priority()) < 0;
