--- a/src/main/java/org/dunespindle/Daemon.java
+++ b/src/main/java/org/dunespindle/Daemon.java
@@ -151,8 +151,7 @@
 
     private void peer(HttpCall call, Consumer<HttpReply> reply) {
         if (call.path().equals("/peer/word") && call.method().equals("POST")) {
-            controller.peers().hear(call.body());
-            reply.accept(json(200, controller.ownWord()));
+            reply.accept(json(200, controller.heard(call.body())));
         } else {
             controller.admin().handle(call.method(), call.path(), call.body(), a -> reply.accept(json(a.status(), a.body())));
         }
--- a/src/main/java/org/dunespindle/bookkeeping/HostRecord.java
+++ b/src/main/java/org/dunespindle/bookkeeping/HostRecord.java
@@ -1,9 +1,9 @@
 package org.dunespindle.bookkeeping;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Instant;
-import org.dunespindle.protocol.Pack;
 
 /**
  * A machine: who commands it, under which fencing token, and what it is. Every change of hands raises the
@@ -33,18 +33,28 @@
         return new HostRecord(id, address, type, zone, spot, owner, incarnation, token + 1, rented, keepUntil, leaving, why);
     }
 
+    /** The same under a token that the worker has not seen yet, should it know a higher one than was stored. */
+    public HostRecord above(long seen) {
+        return token > seen ? this : new HostRecord(id, address, type, zone, spot, owner, incarnation, seen + 1, rented, keepUntil, leaving, why);
+    }
+
     public HostRecord leaving(String reason) {
         return new HostRecord(id, address, type, zone, spot, owner, incarnation, token, rented, keepUntil, true, reason);
     }
 
-    public ObjectNode toNode() {
-        return Pack.map().put("addr", address).put("type", type).put("zone", zone).put("spot", spot).put("owner", owner).put("inc", incarnation).put("token", token)
-                .put("rented", rented.toEpochMilli()).put("keep", keepUntil.toEpochMilli()).put("leaving", leaving).put("why", why);
+    public HostRecord at(String newAddress) {
+        return newAddress.isEmpty() || newAddress.equals(address) ? this
+                : new HostRecord(id, newAddress, type, zone, spot, owner, incarnation, token, rented, keepUntil, leaving, why);
+    }
+
+    /** A row of the page that the machine is kept on; rows are short, since a page holds several. */
+    ArrayNode toRow() {
+        return JsonNodeFactory.instance.arrayNode().add(address).add(type).add(zone).add(spot).add(owner).add(incarnation).add(token)
+                .add(rented.toEpochMilli()).add(keepUntil.toEpochMilli()).add(leaving).add(why);
     }
 
-    public static HostRecord parse(String id, JsonNode n) {
-        return new HostRecord(id, n.path("addr").asText(), n.path("type").asText(), n.path("zone").asText(), n.path("spot").booleanValue(), n.path("owner").asText(),
-                n.path("inc").longValue(), n.path("token").longValue(), Instant.ofEpochMilli(n.path("rented").longValue()),
-                Instant.ofEpochMilli(n.path("keep").longValue()), n.path("leaving").booleanValue(), n.path("why").asText(""));
+    static HostRecord parse(String id, JsonNode n) {
+        return new HostRecord(id, n.path(0).asText(), n.path(1).asText(), n.path(2).asText(), n.path(3).booleanValue(), n.path(4).asText(), n.path(5).longValue(),
+                n.path(6).longValue(), Instant.ofEpochMilli(n.path(7).longValue()), Instant.ofEpochMilli(n.path(8).longValue()), n.path(9).booleanValue(), n.path(10).asText(""));
     }
 }
--- a/src/main/java/org/dunespindle/bookkeeping/JobRecord.java
+++ b/src/main/java/org/dunespindle/bookkeeping/JobRecord.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import it.unimi.dsi.fastutil.ints.IntArrayList;
 import it.unimi.dsi.fastutil.ints.IntRBTreeSet;
@@ -11,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.Pack;
 import org.dunespindle.protocol.Shape;
@@ -217,14 +219,37 @@
         n.put("gen", generation).put("next", next).put("mode", mode.name()).put("try", attempt).put("order", order).put("fails", failures);
         notBefore.ifPresent(t -> n.put("wait", t.toEpochMilli()));
         n.put("again", TaskSet.format(new IntArrayList(new IntRBTreeSet(again))));
-        record Group(String host, long base, boolean stopping) {}
-        var groups = new LinkedHashMap<Group, IntRBTreeSet>();
+        n.set("claims", claimsNode());
+        return n;
+    }
+
+    /** Claims by booking, then by page of machines: a gang as large as its team's limit still has to fit one value. */
+    private ArrayNode claimsNode() {
+        record Booked(long base, boolean stopping) {}
+        var groups = new LinkedHashMap<Booked, Map<String, IntRBTreeSet>>();
         for (Claim c : claims) {
-            groups.computeIfAbsent(new Group(c.host(), c.base(), c.stopping()), g -> new IntRBTreeSet()).add(c.task());
+            groups.computeIfAbsent(new Booked(c.base(), c.stopping()), g -> new TreeMap<>()).computeIfAbsent(c.host(), h -> new IntRBTreeSet()).add(c.task());
+        }
+        ArrayNode list = JsonNodeFactory.instance.arrayNode();
+        groups.forEach((g, hosts) -> {
+            ObjectNode pages = list.addArray().add(g.base).add(g.stopping).addObject();
+            hosts.forEach((host, tasks) -> {
+                String page = Keys.page(host);
+                ObjectNode rows = pages.get(page) instanceof ObjectNode o ? o : pages.putObject(page);
+                rows.put(host.substring(page.length()), TaskSet.format(new IntArrayList(tasks)));
+            });
+        });
+        return list;
+    }
+
+    private static void readClaims(JsonNode group, List<Claim> into) {
+        for (var page : (Iterable<Map.Entry<String, JsonNode>>) group.path(2)::fields) {
+            for (var row : (Iterable<Map.Entry<String, JsonNode>>) page.getValue()::fields) {
+                for (int task : TaskSet.parse(row.getValue().textValue())) {
+                    into.add(new Claim(task, page.getKey() + row.getKey(), group.get(0).longValue(), group.get(1).booleanValue()));
+                }
+            }
         }
-        ArrayNode list = n.putArray("claims");
-        groups.forEach((g, tasks) -> list.addArray().add(g.host).add(g.base).add(g.stopping).add(TaskSet.format(new IntArrayList(tasks))));
-        return n;
     }
 
     public static JobRecord parse(String id, JsonNode n) throws MalformedException {
@@ -234,11 +259,7 @@
             return new JobRecord(id, Optional.empty(), at, end, 0, n.path("next").intValue(), List.of(), List.of(), Mode.IDLE, 0, 0, 0, Optional.empty());
         }
         var claims = new ArrayList<Claim>();
-        for (JsonNode g : n.path("claims")) {
-            for (int task : TaskSet.parse(g.get(3).textValue())) {
-                claims.add(new Claim(task, g.get(0).textValue(), g.get(1).longValue(), g.get(2).booleanValue()));
-            }
-        }
+        n.path("claims").forEach(g -> readClaims(g, claims));
         Optional<Instant> wait = n.has("wait") ? Optional.of(Instant.ofEpochMilli(n.get("wait").longValue())) : Optional.empty();
         return new JobRecord(id, Optional.of(Submission.parse(n.get("job"))), at, end, n.path("gen").longValue(), n.path("next").intValue(),
                 List.copyOf(TaskSet.parse(n.path("again").asText(""))), List.copyOf(claims), Mode.valueOf(n.path("mode").asText("IDLE")), n.path("try").longValue(),
--- a/src/main/java/org/dunespindle/bookkeeping/Keys.java
+++ b/src/main/java/org/dunespindle/bookkeeping/Keys.java
@@ -4,7 +4,8 @@
 public final class Keys {
     public static final String ROOT = "ds/";
     public static final String JOB = ROOT + "job/";
-    public static final String HOST = ROOT + "host/";
+    /** Machines are kept several to a record: what concerns them together then costs one write. */
+    public static final String PAGE = ROOT + "page/";
     public static final String TEAM = ROOT + "team/";
     public static final String MEMBER = ROOT + "member/";
     public static final String INCARNATION = ROOT + "incarnation/";
@@ -17,8 +18,14 @@
         return JOB + id;
     }
 
+    /** The record that a machine is kept in. */
     public static String host(String id) {
-        return HOST + id;
+        return PAGE + page(id);
+    }
+
+    /** Machines whose names differ in the last character only share a page; names are given in rising order. */
+    public static String page(String host) {
+        return host.length() > 1 ? host.substring(0, host.length() - 1) : host;
     }
 
     public static String team(String name) {
--- a/src/main/java/org/dunespindle/bookkeeping/RateBudget.java
+++ b/src/main/java/org/dunespindle/bookkeeping/RateBudget.java
@@ -9,33 +9,56 @@
  */
 public final class RateBudget {
     private final Timeline timeline;
-    private final double perSecond;
-    private final double burst;
     private final ArrayDeque<Waiting> urgent = new ArrayDeque<>();
     private final ArrayDeque<Waiting> normal = new ArrayDeque<>();
+    private double perSecond;
     private double tokens;
     private Duration filledAt;
     private boolean timerSet;
 
     private record Waiting(double cost, Runnable work) {}
 
-    public RateBudget(Timeline timeline, double perSecond, double burst) {
+    public RateBudget(Timeline timeline, double perSecond) {
         this.timeline = timeline;
         this.perSecond = perSecond;
-        this.burst = Math.max(burst, 1);
-        this.tokens = this.burst;
+        this.tokens = burst();
         this.filledAt = timeline.now();
     }
 
-    /** Runs work once its cost is available. */
+    /** A second's worth, as the services allow. */
+    private double burst() {
+        return Math.max(perSecond, 1);
+    }
+
+    /** Changes the rate from now on, as the others' need for their shares changes. */
+    public void rate(double newPerSecond) {
+        refill();
+        perSecond = newPerSecond;
+        tokens = Math.min(tokens, burst());
+    }
+
+    /** What may be spent now; negative while a dear piece of work is being paid off. */
+    public double available() {
+        refill();
+        return urgent.isEmpty() && normal.isEmpty() ? tokens : 0;
+    }
+
+    /** How long until this much is available, at least a millisecond. */
+    public Duration until(double cost) {
+        refill();
+        double missing = Math.min(cost, burst()) - tokens;
+        return Duration.ofNanos((long) (Math.max(0, missing) / perSecond * 1e9) + 1_000_000);
+    }
+
+    /** Runs work once its cost is available. What costs more than a second's worth runs at a full budget and is paid off afterwards. */
     public void submit(boolean first, double cost, Runnable work) {
-        (first ? urgent : normal).addLast(new Waiting(Math.min(cost, burst), work));
+        (first ? urgent : normal).addLast(new Waiting(cost, work));
         drain();
     }
 
     private void refill() {
         Duration now = timeline.now();
-        tokens = Math.min(burst, tokens + now.minus(filledAt).toNanos() / 1e9 * perSecond);
+        tokens = Math.min(burst(), tokens + now.minus(filledAt).toNanos() / 1e9 * perSecond);
         filledAt = now;
     }
 
@@ -47,8 +70,8 @@
             if (head == null) {
                 return;
             }
-            if (head.cost > tokens + 1e-9) {
-                wake((head.cost - tokens) / perSecond);
+            if (Math.min(head.cost, burst()) > tokens + 1e-9) {
+                wake(until(head.cost));
                 return;
             }
             queue.pollFirst();
@@ -57,12 +80,12 @@
         }
     }
 
-    private void wake(double seconds) {
+    private void wake(Duration in) {
         if (timerSet) {
             return;
         }
         timerSet = true;
-        timeline.after(Duration.ofNanos((long) (seconds * 1e9) + 1_000_000), () -> {
+        timeline.after(in, () -> {
             timerSet = false;
             drain();
         });
--- a/src/main/java/org/dunespindle/bookkeeping/Replica.java
+++ b/src/main/java/org/dunespindle/bookkeeping/Replica.java
@@ -1,13 +1,17 @@
 package org.dunespindle.bookkeeping;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.Pack;
@@ -31,8 +35,15 @@
     private final Map<String, HostRecord> hosts = new TreeMap<>();
     private final Map<String, JsonNode> members = new TreeMap<>();
     private final Map<String, JsonNode> plain = new HashMap<>();
+    /** Stamps of keys; negative for a key that was removed then. */
     private final Map<String, Long> stamps = new HashMap<>();
-    private Optional<Map<String, List<Placed>>> byHost = Optional.empty();
+    private final Map<String, List<Placed>> byHost = new HashMap<>();
+    private final Map<String, Map<String, HostRecord>> pages = new HashMap<>();
+    /** Machines whose record or claims changed since they were last asked for. */
+    private Set<String> touched = new LinkedHashSet<>();
+    private long version;
+    private long memberVersion;
+    private final Set<String> unreadable = new HashSet<>();
     private long syncedTo = -1;
     private Duration freshAt = Duration.ZERO;
     private boolean reading;
@@ -96,41 +107,45 @@
 
     /** The stamp to guard a key with: 0 while it does not exist. */
     public long stamp(String key) {
-        return exists(key) ? stamps.get(key) : 0;
+        return Math.max(0, stamps.getOrDefault(key, 0L));
     }
 
-    /** The change of a machine's record that only succeeds if nobody else changed it since it was read here. */
-    public Txn rewrite(HostRecord changed) {
-        String key = Keys.host(changed.id());
-        return new Txn().guard(key, stamp(key)).write(key, changed.toNode());
+    /** Grows with every change taken over. */
+    public long version() {
+        return version;
     }
 
-    private boolean exists(String key) {
-        if (key.startsWith(Keys.JOB)) {
-            return jobs.containsKey(key.substring(Keys.JOB.length()));
-        }
-        if (key.startsWith(Keys.HOST)) {
-            return hosts.containsKey(key.substring(Keys.HOST.length()));
-        }
-        return key.startsWith(Keys.MEMBER) ? members.containsKey(key.substring(Keys.MEMBER.length())) : plain.containsKey(key);
+    /** Grows whenever controllers come or go. */
+    public long memberVersion() {
+        return memberVersion;
     }
 
-    public List<Placed> claimsOn(String host) {
-        return claims().getOrDefault(host, List.of());
+    /** Machines whose record or claims changed since the last call. */
+    public Set<String> takeTouched() {
+        Set<String> taken = touched;
+        touched = new LinkedHashSet<>();
+        return taken;
     }
 
-    /** All claims by machine. */
-    public Map<String, List<Placed>> claims() {
-        if (byHost.isEmpty()) {
-            var map = new HashMap<String, List<Placed>>();
-            for (JobRecord j : openJobs.values()) {
-                for (Claim c : j.claims()) {
-                    map.computeIfAbsent(c.host(), h -> new ArrayList<>()).add(new Placed(j, c));
-                }
-            }
-            byHost = Optional.of(map);
+    /**
+     * The change of a page of machines that only succeeds if nobody else changed it since it was read here.
+     *
+     * @param changes machines' new records, empty for a machine that is gone
+     */
+    public Txn rewrite(String pageKey, Map<String, Optional<HostRecord>> changes) {
+        var rows = new TreeMap<>(pages.getOrDefault(pageKey, Map.of()));
+        changes.forEach((id, record) -> record.ifPresentOrElse(r -> rows.put(id, r), () -> rows.remove(id)));
+        var txn = new Txn().guard(pageKey, stamp(pageKey));
+        if (rows.isEmpty()) {
+            return txn.remove(pageKey);
         }
-        return byHost.get();
+        ObjectNode node = Pack.map();
+        rows.forEach((id, r) -> node.set(id, r.toRow()));
+        return txn.write(pageKey, node);
+    }
+
+    public List<Placed> claimsOn(String host) {
+        return byHost.getOrDefault(host, List.of());
     }
 
     /** Runs {@code served} once a reading that began after this call is in, or {@code failed}. */
@@ -172,8 +187,8 @@
         state.changes(Keys.ROOT, syncedTo).whenComplete((answer, failure) -> {
             if (failure != null || answer.status() != 200) {
                 if (answer != null && answer.status() == 410) {
+                    LOG.info("the log of changes no longer reaches back to revision {}; reading everything again", syncedTo);
                     syncedTo = -1;
-                    LOG.info("the log of changes begins after revision {}; reading everything again", syncedTo);
                 }
                 finish(served, false);
                 return;
@@ -228,8 +243,13 @@
     private void replaceAll(Map<String, Row> rows) {
         jobs.clear();
         openJobs.clear();
+        touched.addAll(hosts.keySet());
         hosts.clear();
+        pages.clear();
+        byHost.clear();
+        unreadable.clear();
         members.clear();
+        memberVersion++;
         plain.clear();
         stamps.clear();
         rows.forEach((key, row) -> put(key, Optional.of(row.value), row.stamp));
@@ -249,40 +269,101 @@
 
     private void put(String key, Optional<JsonNode> value, long stamp) {
         Long known = stamps.get(key);
-        if (known != null && known >= stamp) {
+        if (known != null && Math.abs(known) >= stamp) {
             return; // an own change was taken over before the log told of it
         }
-        stamps.put(key, stamp);
+        stamps.put(key, value.isPresent() ? stamp : -stamp);
+        version++;
         try {
             if (key.startsWith(Keys.JOB)) {
                 putJob(key.substring(Keys.JOB.length()), value);
-            } else if (key.startsWith(Keys.HOST)) {
-                String id = key.substring(Keys.HOST.length());
-                value.ifPresentOrElse(v -> hosts.put(id, HostRecord.parse(id, v)), () -> hosts.remove(id));
+            } else if (key.startsWith(Keys.PAGE)) {
+                putPage(key, value);
             } else if (key.startsWith(Keys.MEMBER)) {
                 String id = key.substring(Keys.MEMBER.length());
                 value.ifPresentOrElse(v -> members.put(id, v), () -> members.remove(id));
+                memberVersion++;
+                touched.addAll(hosts.keySet());
             } else {
                 value.ifPresentOrElse(v -> plain.put(key, v), () -> plain.remove(key));
             }
         } catch (MalformedException | RuntimeException e) {
             LOG.error("the record {} cannot be read: {}", key, e.toString());
+            unreadable.add(key);
         }
     }
 
-    private void putJob(String id, Optional<JsonNode> value) throws MalformedException {
-        byHost = Optional.empty();
-        if (value.isEmpty()) {
-            jobs.remove(id);
-            openJobs.remove(id);
-            return;
+    /** Whether a key's value could not be understood: it must not pass for one that does not exist. */
+    public boolean unreadable(String key) {
+        return unreadable.contains(key);
+    }
+
+    private void putPage(String key, Optional<JsonNode> value) {
+        Map<String, HostRecord> before = pages.getOrDefault(key, Map.of());
+        var after = new TreeMap<String, HostRecord>();
+        value.ifPresent(v -> v.fields().forEachRemaining(f -> after.put(f.getKey(), HostRecord.parse(f.getKey(), f.getValue()))));
+        before.keySet().forEach(id -> {
+            if (!after.containsKey(id)) {
+                hosts.remove(id);
+                touched.add(id);
+            }
+        });
+        after.forEach((id, record) -> {
+            if (!record.equals(before.get(id))) {
+                hosts.put(id, record);
+            }
+            // The page's stamp is new for all of them, and what is concluded about a machine waits for it.
+            touched.add(id);
+        });
+        if (after.isEmpty()) {
+            pages.remove(key);
+        } else {
+            pages.put(key, after);
         }
-        JobRecord job = JobRecord.parse(id, value.get());
-        jobs.put(id, job);
-        if (job.spec().isPresent()) {
-            openJobs.put(id, job);
+    }
+
+    private void putJob(String id, Optional<JsonNode> value) throws MalformedException {
+        Optional<JobRecord> job = value.isEmpty() ? Optional.empty() : Optional.of(JobRecord.parse(id, value.get()));
+        unreadable.remove(Keys.job(id));
+        Optional<JobRecord> before = Optional.ofNullable(job.isPresent() ? jobs.put(id, job.get()) : jobs.remove(id));
+        if (job.isPresent() && job.get().spec().isPresent()) {
+            openJobs.put(id, job.get());
         } else {
             openJobs.remove(id);
         }
+        index(id, before, job);
+    }
+
+    /** Keeps the claims by machine; a machine is touched only if what should be on it changed. */
+    private void index(String id, Optional<JobRecord> before, Optional<JobRecord> after) {
+        Map<String, List<Claim>> old = byHost(before);
+        Map<String, List<Claim>> now = byHost(after);
+        boolean turned = before.isPresent() != after.isPresent() || before.isPresent() && after.isPresent()
+                && (before.get().open() != after.get().open() || before.get().mode() != after.get().mode() || before.get().attempt() != after.get().attempt());
+        old.forEach((host, claims) -> {
+            byHost.computeIfPresent(host, (h, list) -> {
+                list.removeIf(p -> p.job().id().equals(id));
+                return list.isEmpty() ? null : list;
+            });
+            if (turned || !claims.equals(now.get(host))) {
+                touched.add(host);
+            }
+        });
+        now.forEach((host, claims) -> {
+            List<Placed> list = byHost.computeIfAbsent(host, h -> new ArrayList<>(2));
+            claims.forEach(c -> list.add(new Placed(after.get(), c)));
+            if (!claims.equals(old.get(host))) {
+                touched.add(host);
+            }
+        });
+    }
+
+    private static Map<String, List<Claim>> byHost(Optional<JobRecord> job) {
+        if (job.isEmpty() || job.get().claims().isEmpty()) {
+            return Map.of();
+        }
+        var map = new HashMap<String, List<Claim>>();
+        job.get().claims().forEach(c -> map.computeIfAbsent(c.host(), h -> new ArrayList<>(2)).add(c));
+        return map;
     }
 }
--- a/src/main/java/org/dunespindle/bookkeeping/StateClient.java
+++ b/src/main/java/org/dunespindle/bookkeeping/StateClient.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.HdrHistogram.Histogram;
 import org.dunespindle.protocol.MalformedException;
@@ -11,9 +13,12 @@
 import org.dunespindle.transport.CallFailure;
 import org.dunespindle.transport.HttpAnswer;
 import org.dunespindle.transport.Caller;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The state service, called within this controller's share of its rates. */
 public final class StateClient {
+    private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
     private static final Duration TIMEOUT = Duration.ofMillis(1800);
     /** Controllers' clocks differ a little, so their shares leave some of the rate unused. */
     private static final double SAFE_PART = 0.9;
@@ -25,8 +30,13 @@
         int sharers = settings.seeds().size() + 1;
         double requestShare = SAFE_PART * settings.state().rps() / sharers;
         double writeShare = SAFE_PART * settings.state().writeRps() / sharers;
-        this.service = new MeteredCaller(http, settings.stateAddress(), timeline, new RateBudget(timeline, requestShare, requestShare), TIMEOUT);
-        this.writes = new RateBudget(timeline, writeShare, Math.max(writeShare, settings.state().txnOps()));
+        this.service = new MeteredCaller(http, settings.stateAddress(), timeline, new RateBudget(timeline, requestShare), TIMEOUT);
+        this.writes = new RateBudget(timeline, writeShare);
+    }
+
+    /** What this controller may write; changes are paid for as they are committed. */
+    public RateBudget writes() {
+        return writes;
     }
 
     /** Whether the last requests went unserved; tells when to refuse at once instead of trying. */
@@ -82,12 +92,22 @@
                     yield new TxnResult.Unknown();
                 }
             }
-            case 409 -> new TxnResult.Conflict();
+            case 409 -> new TxnResult.Conflict(failedKeys(answer));
             case 400, 413, 429, 503 -> new TxnResult.Refused(answer.status(), new String(answer.body(), java.nio.charset.StandardCharsets.ISO_8859_1));
             default -> new TxnResult.Unknown();
         };
     }
 
+    private static Set<String> failedKeys(HttpAnswer answer) {
+        var keys = new HashSet<String>();
+        try {
+            Pack.read(answer.body()).path("failed").forEach(k -> keys.add(k.asText()));
+        } catch (MalformedException e) {
+            LOG.debug("a conflict without a readable reason");
+        }
+        return keys;
+    }
+
     private static boolean sent(Throwable failure) {
         Throwable cause = failure instanceof java.util.concurrent.CompletionException && failure.getCause() != null ? failure.getCause() : failure;
         return !(cause instanceof CallFailure f) || f.sent();
@@ -108,7 +128,8 @@
 
     private CompletableFuture<HttpAnswer> call(boolean first, String method, String target, byte[] body) {
         return service.call(first, method, target, body).whenComplete((a, e) -> {
-            boolean served = a != null && a.status() != 503 && a.status() != 429;
+            // A refusal for the rate alone says that the service is there.
+            boolean served = a != null && a.status() != 503;
             failuresInARow = served ? 0 : failuresInARow + 1;
         });
     }
--- a/src/main/java/org/dunespindle/bookkeeping/Txn.java
+++ b/src/main/java/org/dunespindle/bookkeeping/Txn.java
@@ -11,31 +11,42 @@
 
 /** An atomic change under construction: guards on stamps, writes and removals. */
 public final class Txn {
+    /** The state service takes 64 KiB; some are left for what stands around keys and values. */
+    private static final int MOST_BYTES = 60 << 10;
+    private static final int PER_ENTRY = 48;
+    private static final int GUARDS_PER_CHANGE = 4;
     private final Map<String, Long> guards = new LinkedHashMap<>();
     private final Map<String, Change> changes = new LinkedHashMap<>();
 
+    private int bytes;
+
     /** A write, or a removal when the value is empty. */
     public record Change(Optional<JsonNode> value, OptionalLong tether) {}
 
     /** Requires a key's stamp; 0 means that the key does not exist. */
     public Txn guard(String key, long stamp) {
-        guards.put(key, stamp);
+        if (guards.put(key, stamp) == null) {
+            bytes += key.length() + PER_ENTRY;
+        }
         return this;
     }
 
     public Txn write(String key, JsonNode value) {
-        changes.put(key, new Change(Optional.of(value), OptionalLong.empty()));
+        return put(key, new Change(Optional.of(value), OptionalLong.empty()));
+    }
+
+    private Txn put(String key, Change change) {
+        changes.put(key, change);
+        bytes += key.length() + PER_ENTRY + change.value.map(Pack::countedSize).orElse(0);
         return this;
     }
 
     public Txn writeTethered(String key, JsonNode value, long tether) {
-        changes.put(key, new Change(Optional.of(value), OptionalLong.of(tether)));
-        return this;
+        return put(key, new Change(Optional.of(value), OptionalLong.of(tether)));
     }
 
     public Txn remove(String key) {
-        changes.put(key, new Change(Optional.empty(), OptionalLong.empty()));
-        return this;
+        return put(key, new Change(Optional.empty(), OptionalLong.empty()));
     }
 
     public int changeCount() {
@@ -50,24 +61,37 @@
         return changes;
     }
 
-    /** Takes in another change; false, and nothing done, if the two disagree about a key or exceed the limit. */
+    /** How many keys one transaction may guard where it may change so many. */
+    public static int mostGuards(int mostChanges) {
+        return GUARDS_PER_CHANGE * mostChanges;
+    }
+
+    /** Whether the state service takes it; what does not fit must be split by whoever proposes it, or it would never be stored. */
+    public boolean fits(int mostChanges) {
+        return changes.size() <= mostChanges && guards.size() <= mostGuards(mostChanges) && bytes <= MOST_BYTES;
+    }
+
+    /** Takes in another change; false, and nothing done, if the two disagree about a key or exceed a limit together. */
     public boolean absorb(Txn other, int mostChanges) {
+        int common = 0;
         for (var g : other.guards.entrySet()) {
             Long mine = guards.get(g.getKey());
             if (mine != null && !mine.equals(g.getValue())) {
                 return false;
             }
+            common += mine != null ? 1 : 0;
         }
         for (String key : other.changes.keySet()) {
             if (changes.containsKey(key)) {
                 return false;
             }
         }
-        if (changes.size() + other.changes.size() > mostChanges || guards.size() + other.guards.size() > 4 * mostChanges) {
+        if (changes.size() + other.changes.size() > mostChanges || guards.size() + other.guards.size() - common > mostGuards(mostChanges) || bytes + other.bytes > MOST_BYTES) {
             return false;
         }
         guards.putAll(other.guards);
         changes.putAll(other.changes);
+        bytes += other.bytes;
         return true;
     }
 
--- a/src/main/java/org/dunespindle/bookkeeping/TxnResult.java
+++ b/src/main/java/org/dunespindle/bookkeeping/TxnResult.java
@@ -1,15 +1,24 @@
 package org.dunespindle.bookkeeping;
 
+import java.util.Set;
+
 /** What became of a transaction. */
 public sealed interface TxnResult {
     /** Applied, at this revision. */
     record Applied(long revision) implements TxnResult {}
 
-    /** A guard failed; nothing was changed. */
-    record Conflict() implements TxnResult {}
+    /** Guards on these keys failed; nothing was changed. */
+    record Conflict(Set<String> failed) implements TxnResult {}
 
     /** Certainly not applied. */
-    record Refused(int status, String why) implements TxnResult {}
+    record Refused(int status, String why) implements TxnResult {
+        private static final int TOO_MANY = 429;
+
+        /** Whether it was refused only for its rate: the same change may be sent again. */
+        public boolean tooMany() {
+            return status == TOO_MANY;
+        }
+    }
 
     /** It may have been applied, or may yet be. */
     record Unknown() implements TxnResult {}
--- a/src/main/java/org/dunespindle/coordination/Admin.java
+++ b/src/main/java/org/dunespindle/coordination/Admin.java
@@ -29,6 +29,7 @@
     private final Replica replica;
     private final Membership membership;
     private final Committer committer;
+    private final MachineEdits edits;
     private final Decisions decisions;
     private final Controller controller;
     private final Map<String, Histogram> latencies;
@@ -36,11 +37,12 @@
     /** An answer before it is put on the wire. */
     public record Answer(int status, ObjectNode body) {}
 
-    Admin(Settings settings, Replica replica, Membership membership, Committer committer, Decisions decisions, Controller controller, Map<String, Histogram> latencies) {
+    Admin(Settings settings, Replica replica, Membership membership, Committer committer, MachineEdits edits, Decisions decisions, Controller controller, Map<String, Histogram> latencies) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
         this.committer = committer;
+        this.edits = edits;
         this.decisions = decisions;
         this.controller = controller;
         this.latencies = latencies;
@@ -171,8 +173,11 @@
             answer.accept(error(404, "no such machine"));
             return;
         }
-        String key = Keys.host(id);
-        commit(replica.rewrite(h.leaving(HostRecord.DRAINED)), key, answer, () -> new Answer(200, Pack.map().put("id", id).put("leaving", true)));
+        if (edits.busy(id)) {
+            answer.accept(error(409, "another change is under way; read again and repeat"));
+            return;
+        }
+        edits.change(Committer.Lane.USERS, h.leaving(HostRecord.DRAINED), r -> answer.accept(after(r, () -> new Answer(200, Pack.map().put("id", id).put("leaving", true)))));
     }
 
     private void commit(Txn txn, String key, Consumer<Answer> answer, java.util.function.Supplier<Answer> good) {
@@ -180,15 +185,14 @@
             answer.accept(error(409, "another change is under way; read again and repeat"));
             return;
         }
-        committer.propose(txn, r -> {
-            if (r instanceof TxnResult.Applied) {
-                answer.accept(good.get());
-            } else if (r instanceof TxnResult.Conflict) {
-                answer.accept(error(409, "changed by somebody else meanwhile; read again and repeat"));
-            } else {
-                answer.accept(error(503, "the state service does not answer"));
-            }
-        });
+        committer.propose(Committer.Lane.USERS, txn, r -> answer.accept(after(r, good)));
+    }
+
+    private static Answer after(TxnResult r, java.util.function.Supplier<Answer> good) {
+        if (r instanceof TxnResult.Applied) {
+            return good.get();
+        }
+        return r instanceof TxnResult.Conflict ? error(409, "changed by somebody else meanwhile; read again and repeat") : error(503, "the state service does not answer");
     }
 
     /** The body of a JSON answer. */
--- a/src/main/java/org/dunespindle/coordination/CloudClient.java
+++ b/src/main/java/org/dunespindle/coordination/CloudClient.java
@@ -32,7 +32,7 @@
 
     public CloudClient(Caller http, Settings settings, Timeline timeline) {
         double rate = LEADERS_PART * settings.cloud().rps();
-        this.service = new MeteredCaller(http, settings.cloudAddress(), timeline, new RateBudget(timeline, rate, rate), TIMEOUT);
+        this.service = new MeteredCaller(http, settings.cloudAddress(), timeline, new RateBudget(timeline, rate), TIMEOUT);
     }
 
     public Histogram latency() {
--- a/src/main/java/org/dunespindle/coordination/Committer.java
+++ b/src/main/java/org/dunespindle/coordination/Committer.java
@@ -1,74 +1,141 @@
 package org.dunespindle.coordination;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.dunespindle.bookkeeping.Replica;
 import org.dunespindle.bookkeeping.StateClient;
+import org.dunespindle.bookkeeping.Timeline;
 import org.dunespindle.bookkeeping.Txn;
 import org.dunespindle.bookkeeping.TxnResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Commits proposals, several to a transaction while many wait. A proposal locks what it changes until
  * its outcome is known, so this controller never races itself; others are kept off by the guards.
+ * Proposals wait here rather than in the rate budget, so that users' requests and urgent work overtake
+ * bookkeeping however much of that there is.
  */
 public final class Committer {
+    private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
     private static final int MOST_IN_FLIGHT = 3;
+    private static final Duration RATE_PAUSE = Duration.ofMillis(150);
     private final StateClient state;
     private final Replica replica;
+    private final Timeline timeline;
     private final int txnOps;
-    private final ArrayDeque<Proposal> queue = new ArrayDeque<>();
+    private final Map<Lane, ArrayDeque<Proposal>> lanes = new EnumMap<>(Lane.class);
     private final Set<String> locked = new HashSet<>();
     private final Runnable settled;
+    private Duration notBefore = Duration.ZERO;
     private int inFlight;
-    private int width = 1;
+    private boolean timerSet;
+    private long written;
 
-    private record Proposal(Set<String> locks, Txn txn, Consumer<TxnResult> then) {}
+    /** Who goes first when writes are scarce. */
+    public enum Lane { USERS, PLACING, KEEPING }
 
-    public Committer(StateClient state, Replica replica, int txnOps, Runnable settled) {
+    private record Proposal(Lane lane, Set<String> locks, Txn txn, Consumer<TxnResult> then) {}
+
+    public Committer(StateClient state, Replica replica, Timeline timeline, int txnOps, Runnable settled) {
         this.state = state;
         this.replica = replica;
+        this.timeline = timeline;
         this.txnOps = txnOps;
         this.settled = settled;
+        for (Lane lane : Lane.values()) {
+            lanes.put(lane, new ArrayDeque<>());
+        }
     }
 
     public boolean isLocked(String key) {
         return locked.contains(key);
     }
 
-    /** Proposals that may share a transaction at present. */
-    public int width() {
-        return width;
+    /** Changes that wait for their turn. */
+    public int waiting() {
+        return lanes.values().stream().mapToInt(ArrayDeque::size).sum();
+    }
+
+    /** Changes committed or tried so far. */
+    public long written() {
+        return written;
     }
 
     /** Proposes a change; the keys it writes are locked until {@code then} has run. */
-    public void propose(Txn txn, Consumer<TxnResult> then) {
+    public void propose(Lane lane, Txn txn, Consumer<TxnResult> then) {
         var locks = Set.copyOf(txn.changes().keySet());
         locked.addAll(locks);
-        queue.addLast(new Proposal(locks, txn, then));
+        lanes.get(lane).addLast(new Proposal(lane, locks, txn, then));
         flush();
     }
 
+    private Proposal head() {
+        for (ArrayDeque<Proposal> lane : lanes.values()) {
+            if (!lane.isEmpty()) {
+                return lane.peekFirst();
+            }
+        }
+        return null;
+    }
+
     private void flush() {
-        while (inFlight < MOST_IN_FLIGHT && !queue.isEmpty()) {
-            var batch = new ArrayList<Proposal>();
-            var txn = new Txn();
-            while (!queue.isEmpty() && batch.size() < width && txn.absorb(queue.peekFirst().txn, txnOps)) {
-                batch.add(queue.pollFirst());
+        Proposal head;
+        while (inFlight < MOST_IN_FLIGHT && (head = head()) != null) {
+            Duration pause = notBefore.minus(timeline.now());
+            int cost = head.txn.changeCount();
+            if (pause.isNegative() && state.writes().available() < Math.min(cost, 1)) {
+                pause = state.writes().until(1);
+            }
+            if (!pause.isNegative() && !pause.isZero()) {
+                later(pause);
+                return;
             }
-            if (batch.isEmpty()) {
-                Proposal tooLarge = queue.pollFirst();
-                finish(List.of(tooLarge), new TxnResult.Refused(0, "more changes than a transaction takes"));
+            if (!head.txn.fits(txnOps)) {
+                // Proposers split what is too large; one that did not must at least not hold up the others.
+                lanes.get(head.lane).pollFirst();
+                LOG.error("a change of {} keys under {} guards is more than a transaction takes", cost, head.txn.guards().size());
+                finish(List.of(head), new TxnResult.Refused(0, "more than a transaction takes"));
                 continue;
             }
-            inFlight++;
-            state.commit(txn).thenAccept(result -> settle(batch, txn, result));
+            send(batch((int) Math.max(cost, state.writes().available())));
+        }
+    }
+
+    private List<Proposal> batch(int mostWrites) {
+        var batch = new ArrayList<Proposal>();
+        var txn = new Txn();
+        for (ArrayDeque<Proposal> lane : lanes.values()) {
+            while (!lane.isEmpty() && (batch.isEmpty() || txn.changeCount() + lane.peekFirst().txn.changeCount() <= mostWrites) && txn.absorb(lane.peekFirst().txn, txnOps)) {
+                batch.add(lane.pollFirst());
+            }
+        }
+        return batch;
+    }
+
+    private void send(List<Proposal> batch) {
+        var txn = new Txn();
+        batch.forEach(p -> txn.absorb(p.txn, txnOps));
+        inFlight++;
+        written += txn.changeCount();
+        state.commit(txn).thenAccept(result -> settle(batch, txn, result));
+    }
+
+    private void later(Duration pause) {
+        if (!timerSet) {
+            timerSet = true;
+            timeline.after(pause, () -> {
+                timerSet = false;
+                flush();
+            });
         }
-        // What is left over waits for a free slot; the next batch takes more of it.
-        width = queue.isEmpty() ? Math.max(1, width / 2) : Math.min(txnOps, width * 2);
     }
 
     private void settle(List<Proposal> batch, Txn txn, TxnResult result) {
@@ -76,15 +143,26 @@
         if (result instanceof TxnResult.Applied applied) {
             replica.adopt(txn, applied.revision());
             finish(batch, result);
-        } else if (result instanceof TxnResult.Conflict && batch.size() > 1) {
-            // One stale proposal must not sink its neighbours: each is tried alone.
-            width = 1;
+        } else if (result instanceof TxnResult.Conflict conflict) {
+            // One stale proposal must not sink its neighbours: only those whose guards failed are decided anew.
+            var stale = new ArrayList<Proposal>();
             for (int i = batch.size() - 1; i >= 0; i--) {
-                queue.addFirst(batch.get(i));
+                Proposal p = batch.get(i);
+                if (conflict.failed().isEmpty() || p.txn.guards().keySet().stream().anyMatch(conflict.failed()::contains)) {
+                    stale.add(p);
+                } else {
+                    lanes.get(p.lane).addFirst(p);
+                }
             }
-        } else if (result instanceof TxnResult.Conflict || result instanceof TxnResult.Unknown) {
-            // Decide again only on what the store says now. A late copy of an unknown one fails its guards or shows in the log.
+            replica.refresh(() -> finish(stale, result), () -> finish(stale, result));
+        } else if (result instanceof TxnResult.Unknown) {
+            // Decide again only on what the store says now. A late copy fails its guards or shows in the log.
             replica.refresh(() -> finish(batch, result), () -> finish(batch, result));
+        } else if (result instanceof TxnResult.Refused refused && refused.tooMany()) {
+            notBefore = timeline.now().plus(RATE_PAUSE);
+            for (int i = batch.size() - 1; i >= 0; i--) {
+                lanes.get(batch.get(i).lane).addFirst(batch.get(i));
+            }
         } else {
             finish(batch, result);
         }
@@ -96,7 +174,12 @@
             locked.removeAll(p.locks);
         }
         for (Proposal p : batch) {
-            p.then.accept(result);
+            try {
+                p.then.accept(result);
+            } catch (RuntimeException e) {
+                // One proposer's mistake must not keep the others from hearing their outcome.
+                LOG.error("what follows a stored change failed", e);
+            }
         }
         settled.run();
     }
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -37,27 +37,38 @@
     private static final Duration TELL_EVERY = Duration.ofSeconds(10);
     private static final Duration EARLY = Duration.ofSeconds(15);
     private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(12);
+    /** Most machines are up by then; on the others nothing is planned any more. */
+    private static final int LATE_BOOT_TENTHS = 16;
+    private static final Duration SURE_OF_LIST = Duration.ofSeconds(2);
+    private static final Duration JUDGE_EVERY = Duration.ofMillis(900);
     private static final int MOST_SLOTS = 128;
     private static final int MOST_RETURNED = 100;
+    private static final int MOST_RENTED = 50;
     private final Settings settings;
     private final Replica replica;
     private final Membership membership;
-    private final Committer committer;
+    private final MachineEdits edits;
+    private final HostDesk hostDesk;
     private final CloudClient cloud;
     private final Timeline timeline;
     private final Sessions sessions;
     private final Peers peers;
     private final Decisions decisions;
+    private final Targets targets;
     private final Supplier<Options> options;
     private final Supplier<Optional<List<MachineType>>> catalog;
     private final Map<Planner.Market, Refusal> refusals = new HashMap<>();
     private final Map<String, Duration> goneAt = new HashMap<>();
     private final Map<String, Duration> idleSince = new HashMap<>();
     private final Map<String, Duration> firstSeen = new HashMap<>();
+    /** Machines rented here whose records are not stored yet; nothing more is rented until they count as room. */
+    private final Map<String, Runnable> unrecorded = new LinkedHashMap<>();
     private Map<String, ListedMachine> listed = Map.of();
     private Optional<Duration> leadingSince = Optional.empty();
     private Duration listAgainAt = Duration.ZERO;
     private Duration tellAgainAt = Duration.ZERO;
+    private Duration judgeAgainAt = Duration.ZERO;
+    private boolean firstOfAll;
     private boolean listing;
     private boolean renting;
     private boolean returning;
@@ -65,12 +76,14 @@
 
     private record Refusal(Duration until, Duration pause) {}
 
-    public Fleet(Settings settings, Replica replica, Membership membership, Committer committer, CloudClient cloud, Timeline timeline, Sessions sessions, Peers peers,
-            Decisions decisions, Supplier<Options> options, Supplier<Optional<List<MachineType>>> catalog) {
+    public Fleet(Settings settings, Replica replica, Membership membership, MachineEdits edits, HostDesk hostDesk, CloudClient cloud, Timeline timeline, Sessions sessions,
+            Peers peers, Decisions decisions, Targets targets, Supplier<Options> options, Supplier<Optional<List<MachineType>>> catalog) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
-        this.committer = committer;
+        this.edits = edits;
+        this.hostDesk = hostDesk;
+        this.targets = targets;
         this.cloud = cloud;
         this.timeline = timeline;
         this.sessions = sessions;
@@ -95,10 +108,15 @@
         return goneAt.containsKey(host);
     }
 
+    /** All machines that the cloud confirmed as returned lately. */
+    public Set<String> gone() {
+        return goneAt.keySet();
+    }
+
     /** Whether a machine that has not reported yet is still worth waiting for. */
     public boolean bootsInTime(HostRecord h) {
         // A controller that has just started has heard nobody yet: that says nothing about the machines.
-        return timeline.now().compareTo(EARLY) < 0 || age(h).compareTo(bootTime(h).multipliedBy(2)) < 0;
+        return timeline.now().compareTo(EARLY) < 0 || age(h).compareTo(bootTime(h).multipliedBy(LATE_BOOT_TENTHS).dividedBy(10)) < 0;
     }
 
     private Duration age(HostRecord h) {
@@ -109,35 +127,41 @@
         return known(h.type()).map(MachineType::boot).orElse(Duration.ofSeconds(60));
     }
 
-    /** When any controller last heard a machine. */
+    /** When any controller last had a sign of life from a machine that could not be an old copy. */
     public Optional<Duration> heard(String host) {
-        Optional<Duration> last = sessions.known(host).flatMap(s -> s.heardAt);
-        for (Peers.Word w : peers.all().values()) {
-            Duration d = w.heardAt().get(host);
-            if (d != null && (last.isEmpty() || d.compareTo(last.get()) > 0)) {
-                last = Optional.of(d);
-            }
-        }
-        return last;
+        Optional<Duration> here = sessions.known(host).flatMap(s -> s.heardAt);
+        Optional<Duration> there = peers.aliveAt(host);
+        return here.filter(h -> there.isEmpty() || h.compareTo(there.get()) >= 0).or(() -> there);
+    }
+
+    /** Whether a machine may take its time: it was rented but nobody has heard it yet. */
+    public boolean booting(HostRecord h) {
+        return heard(h.id()).isEmpty();
     }
 
-    /** Called every round on every controller; only the leader acts. */
+    /** Called with every plan on every controller; only the leader acts. */
     public void tick(Planner.Plan plan) {
         Duration now = timeline.now();
         if (!membership.leads()) {
             leadingSince = Optional.empty();
+            unrecorded.clear();
             return;
         }
         if (leadingSince.isEmpty()) {
             leadingSince = Optional.of(now);
             listAgainAt = now;
+            // While no machine is known at all this is the first leader ever, and what the list names is there.
+            firstOfAll = replica.hosts().isEmpty();
         }
         goneAt.values().removeIf(t -> now.minus(t).compareTo(REMEMBER_GONE) > 0);
-        tellSize(now);
         list(now);
-        removeGone();
-        judge(now, plan);
-        giveBack();
+        if (now.compareTo(judgeAgainAt) >= 0) {
+            judgeAgainAt = now.plus(JUDGE_EVERY);
+            tellSize(now);
+            removeGone();
+            judge(now, plan);
+            giveBack();
+        }
         rent(plan);
     }
 
@@ -174,30 +198,39 @@
         });
     }
 
-    /** Machines in the list that no record names: rented by a request whose answer was lost, or there from the start. */
+    /**
+     * Machines in the list that no record names: rented by a request whose answer was lost, or there from the start. The
+     * list lags and may still name what an earlier leader returned, so a new leader waits until it cannot any more.
+     */
     private void adopt() {
+        Duration sure = settings.cloud().listLag().multipliedBy(2).plus(SURE_OF_LIST);
+        if (!firstOfAll && timeline.now().minus(leadingSince.orElse(timeline.now())).compareTo(sure) < 0) {
+            return;
+        }
         for (ListedMachine m : listed.values()) {
-            if (!replica.hosts().containsKey(m.id()) && !isGone(m.id()) && !committer.isLocked(Keys.host(m.id()))) {
-                record(m.id(), m.address(), new Planner.Market(m.type(), m.zone(), m.spot()), timeline.wallTime().minus(m.age()));
+            if (!m.failed() && !replica.hosts().containsKey(m.id()) && !isGone(m.id()) && !edits.busy(m.id())) {
+                record(m.id(), m.address(), new Planner.Market(m.type(), m.zone(), m.spot()), timeline.wallTime().minus(m.age()), false);
             }
         }
     }
 
-    private void record(String id, String address, Planner.Market market, Instant rented) {
-        String owner = membership.hashed(id).orElse(settings.nodeName());
+    /** A new machine's record. One that is rented for a gang is the leader's from the start: borrowing it would cost a write more. */
+    private void record(String id, String address, Planner.Market market, Instant rented, boolean forGang) {
+        String owner = forGang ? settings.nodeName() : membership.hashed(id).orElse(settings.nodeName());
         long inc = membership.incarnationOf(owner).orElse(membership.incarnation());
-        var host = new HostRecord(id, address, market.type(), market.zone(), market.spot(), owner, inc, 1, rented, Instant.EPOCH, false, "");
-        committer.propose(new Txn().guard(Keys.host(id), 0).write(Keys.host(id), host.toNode()), r -> { });
+        long token = sessions.known(id).flatMap(x -> x.report).map(r -> r.token() + 1).orElse(1L);
+        var host = new HostRecord(id, address, market.type(), market.zone(), market.spot(), owner, inc, token, rented, Instant.EPOCH, false, "");
+        edits.change(Committer.Lane.PLACING, host, r -> { });
     }
 
     private void removeGone() {
         for (HostRecord h : List.copyOf(replica.hosts().values())) {
-            String key = Keys.host(h.id());
-            if (isGone(h.id()) && replica.claimsOn(h.id()).isEmpty() && !committer.isLocked(key)) {
-                committer.propose(new Txn().guard(key, replica.stamp(key)).remove(key), r -> {
+            if (isGone(h.id()) && replica.claimsOn(h.id()).isEmpty() && !edits.busy(h.id())) {
+                edits.remove(h.id(), r -> {
                     if (r instanceof TxnResult.Applied) {
                         sessions.drop(h.id());
                         firstSeen.remove(h.id());
+                        idleSince.remove(h.id());
                     }
                 });
             }
@@ -206,7 +239,7 @@
 
     private void judge(Duration now, Planner.Plan plan) {
         for (HostRecord h : List.copyOf(replica.hosts().values())) {
-            if (h.leaving() || isGone(h.id()) || committer.isLocked(Keys.host(h.id()))) {
+            if (h.leaving() || isGone(h.id()) || edits.busy(h.id())) {
                 continue;
             }
             boolean idle = replica.claimsOn(h.id()).isEmpty() && !plan.wantedHosts().contains(h.id());
@@ -224,25 +257,30 @@
         if (row != null && row.failed()) {
             return Optional.of("it failed");
         }
-        if (peers.all().values().stream().anyMatch(w -> w.bad().contains(h.id())) || bad(h.id())) {
+        if (peers.bad(h.owner(), h.id()) || bad(h.id())) {
             return Optional.of("it fails its tasks");
         }
+        Duration silentLimit = options.get().silentBeforeReturn();
+        Duration leading = now.minus(leadingSince.orElse(now));
         Optional<Duration> heard = heard(h.id());
         if (heard.isEmpty()) {
             Duration patience = bootTime(h).multipliedBy(options.get().bootPatience());
             Duration seen = firstSeen.computeIfAbsent(h.id(), k -> now);
             boolean running = row != null && row.phase().equals("running");
-            if (running && now.minus(seen).compareTo(options.get().silentBeforeReturn().plus(Duration.ofSeconds(20))) > 0) {
+            if (running && now.minus(seen).compareTo(silentLimit.plus(Duration.ofSeconds(20))) > 0 && leading.compareTo(silentLimit.plus(EARLY)) > 0) {
                 return Optional.of("it runs but no controller hears it");
             }
-            boolean longEnough = now.minus(leadingSince.orElse(now)).compareTo(options.get().silentBeforeReturn().plus(EARLY)) > 0;
-            return longEnough && age(h).compareTo(patience) > 0 ? Optional.of("it did not come up in time") : Optional.empty();
+            return leading.compareTo(silentLimit.plus(EARLY)) > 0 && age(h).compareTo(patience) > 0 ? Optional.of("it did not come up in time") : Optional.empty();
         }
+        boolean ownerTalks = membership.owns(h) || peers.word(h.owner()).isPresent();
+        Duration limit = silentLimit.plus(ownerTalks ? Duration.ZERO : Duration.ofSeconds(25));
         Duration silence = now.minus(later(heard.get(), leadingSince.orElse(now)));
-        Duration limit = options.get().silentBeforeReturn().plus(membership.owns(h) || peers.word(h.owner()).isPresent() ? Duration.ZERO : Duration.ofSeconds(25));
         if (silence.compareTo(limit) > 0) {
             return Optional.of("it has been silent for " + silence.toSeconds() + " s");
         }
+        if (membership.owns(h) && leading.compareTo(silentLimit) > 0 && hostDesk.oneWayFor(h.id()).filter(d -> d.compareTo(silentLimit) > 0).isPresent()) {
+            return Optional.of("it reports but takes no commands");
+        }
         Duration idle = now.minus(idleSince.getOrDefault(h.id(), now));
         return idle.compareTo(options.get().idleBeforeReturn(h.spot())) > 0 ? Optional.of(HostRecord.IDLE) : Optional.empty();
     }
@@ -258,7 +296,7 @@
 
     private void leave(HostRecord h, String why) {
         decisions.tell(LOG, "machine {} is given back: {}", h.id(), why);
-        committer.propose(replica.rewrite(h.leaving(why)), r -> { });
+        edits.change(Committer.Lane.KEEPING, h.leaving(why), r -> { });
     }
 
     private void giveBack() {
@@ -288,57 +326,65 @@
         });
     }
 
+    private void recordRented() {
+        unrecorded.keySet().removeIf(id -> replica.hosts().containsKey(id) || isGone(id));
+        List.copyOf(unrecorded.entrySet()).forEach(e -> {
+            if (!edits.busy(e.getKey())) {
+                e.getValue().run();
+            }
+        });
+    }
+
     private void rent(Planner.Plan plan) {
-        if (renting || catalog.get().isEmpty() || replica.age().compareTo(Duration.ofSeconds(3)) > 0) {
+        recordRented();
+        if (!unrecorded.isEmpty() || renting || catalog.get().isEmpty() || replica.age().compareTo(Duration.ofSeconds(3)) > 0) {
             return;
         }
-        var needs = needs(plan);
-        for (Map.Entry<Planner.Market, Integer> need : needs.entrySet()) {
-            if (need.getValue() > 0) {
+        for (Map.Entry<Planner.Market, Need> need : needs(plan).entrySet()) {
+            int count = Math.min(MOST_RENTED, need.getValue().count);
+            if (count > 0) {
                 renting = true;
-                request("r-" + settings.nodeName() + "-" + membership.incarnation() + "-" + ++charters, need.getKey(), Math.min(50, need.getValue()), 4);
+                request("r-" + settings.nodeName() + "-" + membership.incarnation() + "-" + ++charters, need.getKey(), count, need.getValue().forGang, 4);
                 return;
             }
         }
     }
 
+    /** Machines of a market to rent, and whether the first job that needs one is a gang. */
+    private static final class Need {
+        int count;
+        boolean forGang;
+        /** Room left on the machine that was counted last. */
+        Resources rest = Resources.NONE;
+    }
+
     /** Packs what found no room into machines of the cheapest kinds that may serve it. */
-    private Map<Planner.Market, Integer> needs(Planner.Plan plan) {
-        var needs = new LinkedHashMap<Planner.Market, Integer>();
-        record Extra(Planner.Market market, Resources[] room) {}
-        var extras = new ArrayList<Extra>();
+    private Map<Planner.Market, Need> needs(Planner.Plan plan) {
+        var needs = new LinkedHashMap<Planner.Market, Need>();
         Duration queued = runningWork();
         for (Planner.Shortfall gap : plan.shortfalls()) {
+            var job = gap.job().job();
             List<Planner.Market> markets = markets(gap);
-            if (!gap.job().job().gang()) {
-                queued = queued.plus(gap.job().job().estimate().multipliedBy(gap.tasks()));
+            if (!job.gang()) {
+                queued = queued.plus(job.estimate().multipliedBy(gap.tasks()));
                 keepCheapestIfInTime(gap, markets, queued);
             }
+            Optional<Planner.Market> market = markets.stream().filter(x -> gap.zone().isEmpty() || gap.zone().get().equals(x.zone())).findFirst();
+            if (market.isEmpty()) {
+                continue;
+            }
+            Need need = needs.computeIfAbsent(market.get(), m -> new Need());
+            need.forGang |= need.count == 0 && job.gang() && job.tasks() > 1;
+            Resources size = type(market.get().type()).size();
             int left = gap.tasks();
-            Optional<String> zone = gap.zone();
-            for (int i = 0; i < gap.tasks() && left > 0; i++) {
-                Resources one = gap.job().job().perTask();
-                Optional<String> z = zone;
-                boolean placed = false;
-                for (Extra e : extras) {
-                    if (markets.contains(e.market) && (z.isEmpty() || z.get().equals(e.market.zone())) && one.fitsIn(e.room[0])) {
-                        e.room[0] = e.room[0].minus(one);
-                        placed = true;
-                        break;
-                    }
-                }
-                if (!placed) {
-                    Optional<Planner.Market> m = markets.stream().filter(x -> z.isEmpty() || z.get().equals(x.zone())).findFirst();
-                    if (m.isEmpty()) {
-                        break;
-                    }
-                    if (gap.job().job().sameZone()) {
-                        zone = Optional.of(m.get().zone());
-                    }
-                    needs.merge(m.get(), 1, Integer::sum);
-                    extras.add(new Extra(m.get(), new Resources[] {type(m.get().type()).size().minus(one)}));
-                }
-                left--;
+            int rest = Planner.fitCount(job.perTask(), need.rest, left);
+            need.rest = need.rest.minus(job.perTask().times(rest));
+            left -= rest;
+            int each = Math.max(1, fits(job.perTask(), market.get().type()));
+            if (left > 0) {
+                int machines = (left + each - 1) / each;
+                need.count += machines;
+                need.rest = size.minus(job.perTask().times(left - (machines - 1) * each));
             }
         }
         return needs;
@@ -358,8 +404,7 @@
     /** Work that ends in time even if it queues for the cheapest kind is not worth a dear machine. */
     private void keepCheapestIfInTime(Planner.Shortfall gap, List<Planner.Market> markets, Duration queued) {
         var job = gap.job().job();
-        Optional<Duration> target = job.due().or(() -> settings.objectives().stream().filter(o -> o.kind().equals("finished") && o.jobClass().equals(job.jobClass()))
-                .map(Settings.Objective::within).min(Comparator.naturalOrder()));
+        Optional<Duration> target = targets.nearest(job);
         int slots = 0;
         for (HostRecord h : replica.hosts().values()) {
             if (h.spot() == job.spot() && !h.leaving() && job.types().map(t -> t.contains(h.type())).orElse(true)) {
@@ -412,13 +457,13 @@
         return list;
     }
 
-    private void request(String charter, Planner.Market market, int count, int tries) {
+    private void request(String charter, Planner.Market market, int count, boolean forGang, int tries) {
         cloud.rent(charter, market, count).whenComplete((rented, failure) -> {
             if (failure != null) {
                 // Its answer may be lost, so the same charter is sent again; what it rents all the same shows in the list.
                 timeline.after(RETRY, () -> {
                     if (tries > 1 && membership.leads()) {
-                        request(charter, market, count, tries - 1);
+                        request(charter, market, count, forGang, tries - 1);
                     } else {
                         renting = false;
                     }
@@ -433,7 +478,9 @@
             }
             if (!rented.hosts().isEmpty()) {
                 decisions.tell(LOG, "rented {} of {} in {} ({})", rented.hosts().size(), market.type(), market.zone(), market.spot() ? "spot" : "ordinary");
-                rented.hosts().forEach(id -> record(id, "", market, timeline.wallTime()));
+                Instant at = timeline.wallTime();
+                rented.hosts().forEach(id -> unrecorded.put(id, () -> record(id, "", market, at, forGang)));
+                recordRented();
             }
         });
     }
--- a/src/main/java/org/dunespindle/coordination/FrontDesk.java
+++ b/src/main/java/org/dunespindle/coordination/FrontDesk.java
@@ -102,7 +102,7 @@
             return;
         }
         Duration begun = timeline.now();
-        committer.propose(new Txn().guard(key, 0).write(key, record.toNode()), r -> {
+        committer.propose(Committer.Lane.USERS, new Txn().guard(key, 0).write(key, record.toNode()), r -> {
             accepts.recordValue(Math.min(60_000_000L, timeline.now().minus(begun).toNanos() / 1000));
             Optional<JobRecord> now = replica.job(job.id());
             if (r instanceof TxnResult.Applied) {
@@ -155,10 +155,15 @@
         } else if (state.failing()) {
             answer.accept(out());
         } else {
-            replica.refresh(() -> answer.accept(replica.job(id).map(FrontDesk::show).orElseGet(() -> Answer.error(404, "no such job"))), () -> answer.accept(out()));
+            replica.refresh(() -> answer.accept(replica.job(id).map(FrontDesk::show).orElseGet(() -> absent(id))), () -> answer.accept(out()));
         }
     }
 
+    /** A record that cannot be understood is not an absent one: its job was accepted. */
+    private Answer absent(String id) {
+        return replica.unreadable(Keys.job(id)) ? Answer.later("the job's record cannot be read", LATER) : Answer.error(404, "no such job");
+    }
+
     public void cancel(String id, Consumer<Answer> answer) {
         cancel(id, timeline.now().plus(PATIENCE), answer);
     }
@@ -172,13 +177,13 @@
             Optional<JobRecord> known = replica.job(id);
             String key = Keys.job(id);
             if (known.isEmpty()) {
-                answer.accept(Answer.error(404, "no such job"));
+                answer.accept(absent(id));
             } else if (!known.get().open()) {
                 answer.accept(show(known.get()));
             } else if (committer.isLocked(key)) {
                 again(id, until, answer);
             } else {
-                committer.propose(new Txn().guard(key, replica.stamp(key)).write(key, known.get().cancelled().toNode()), r -> {
+                committer.propose(Committer.Lane.USERS, new Txn().guard(key, replica.stamp(key)).write(key, known.get().cancelled().toNode()), r -> {
                     if (r instanceof TxnResult.Applied) {
                         answer.accept(Answer.of(200, Pack.map().put("id", id).put("phase", "cancelled")));
                     } else {
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/Gangs.java
@@ -0,0 +1,152 @@
+package org.dunespindle.coordination;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.HdrHistogram.Histogram;
+import org.dunespindle.bookkeeping.Claim;
+import org.dunespindle.bookkeeping.HostRecord;
+import org.dunespindle.bookkeeping.JobRecord;
+import org.dunespindle.bookkeeping.Keys;
+import org.dunespindle.bookkeeping.Replica;
+import org.dunespindle.bookkeeping.Replica.Placed;
+import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.bookkeeping.Txn;
+import org.dunespindle.protocol.PieceId;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.protocol.TaskPhase;
+import org.dunespindle.protocol.TaskStatus;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Moves gangs on: to real tasks once every placeholder idles, back to the queue when the timer ends the placement. */
+final class Gangs {
+    private static final Logger LOG = LoggerFactory.getLogger(Gangs.class);
+    private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(30);
+    private static final long LONGEST_MICROS = 3_600_000_000L;
+    private final Settings settings;
+    private final Replica replica;
+    private final Committer committer;
+    private final HostDesk hostDesk;
+    private final Sessions sessions;
+    private final Timeline timeline;
+    private final Decisions decisions;
+    private final Supplier<Options> options;
+    private final Histogram holdPlacement = new Histogram(LONGEST_MICROS, 2);
+    private final Histogram replacement = new Histogram(LONGEST_MICROS, 2);
+    private final Map<String, Duration> replacingSince = new HashMap<>();
+    private final Map<String, Duration> firstHold = new HashMap<>();
+
+    Gangs(Settings settings, Replica replica, Committer committer, HostDesk hostDesk, Sessions sessions, Timeline timeline, Decisions decisions, Supplier<Options> options) {
+        this.settings = settings;
+        this.replica = replica;
+        this.committer = committer;
+        this.hostDesk = hostDesk;
+        this.sessions = sessions;
+        this.timeline = timeline;
+        this.decisions = decisions;
+        this.options = options;
+    }
+
+    Histogram holdPlacement() {
+        return holdPlacement;
+    }
+
+    Histogram replacement() {
+        return replacement;
+    }
+
+    /** The leader's part. */
+    void tick() {
+        Duration now = timeline.now();
+        var holding = new HashSet<String>();
+        for (JobRecord j : replica.livingJobs()) {
+            if (!j.open() || !j.job().gang()) {
+                continue;
+            }
+            if (replacingSince.containsKey(j.id()) && j.mode() == JobRecord.Mode.REAL && allIn(j, TaskPhase.RUNNING)) {
+                replacement.recordValue(Math.min(LONGEST_MICROS, now.minus(replacingSince.remove(j.id())).toNanos() / 1000));
+            }
+            if (j.mode() != JobRecord.Mode.HOLD) {
+                continue;
+            }
+            holding.add(j.id());
+            moveOn(j, now.minus(firstHold.computeIfAbsent(j.id(), k -> now)));
+        }
+        firstHold.keySet().retainAll(holding);
+        replacingSince.keySet().removeIf(id -> replica.job(id).filter(JobRecord::open).isEmpty());
+    }
+
+    private void moveOn(JobRecord j, Duration since) {
+        if (committer.isLocked(Keys.job(j.id()))) {
+            return;
+        }
+        boolean all = j.claims().size() == j.job().tasks();
+        Duration limit = all ? options.get().firstHoldTimer().plus(settings.workers().gangWait()).plus(FETCH_ALLOWANCE) : options.get().firstHoldTimer();
+        if (all && allIn(j, TaskPhase.ASSEMBLING)) {
+            holdPlacement.recordValue(Math.min(LONGEST_MICROS, since.toNanos() / 1000));
+            decisions.tell(LOG, "gang {}: all {} placeholders are placed; real tasks replace them", j.id(), j.job().tasks());
+            replacingSince.put(j.id(), timeline.now());
+            change(j, j.real());
+        } else if (since.compareTo(limit) > 0) {
+            decisions.tell(LOG, "gang {}: its placement ended after {} s with {} of {} placeholders; queued again", j.id(), since.toSeconds(), j.claims().size(), j.job().tasks());
+            change(j, j.stopGang().requeued(timeline.wallTime().toEpochMilli()));
+        }
+    }
+
+    private void change(JobRecord from, JobRecord to) {
+        String key = Keys.job(from.id());
+        committer.propose(Committer.Lane.PLACING, new Txn().guard(Keys.LEADER, replica.stamp(Keys.LEADER)).guard(key, replica.stamp(key)).write(key, to.toNode()), r -> { });
+    }
+
+    /** Whether every member is reported in a phase, by machines commanded here. */
+    private boolean allIn(JobRecord j, TaskPhase phase) {
+        for (Claim c : j.claims()) {
+            HostRecord h = replica.hosts().get(c.host());
+            if (h == null || !hostDesk.ready(h) || sessions.of(h.id()).calling) {
+                return false;
+            }
+            Optional<TaskStatus> t = sessions.of(h.id()).report.get().find(new PieceId(j.id(), c.task()), j.wantedAttempt(c));
+            if (t.filter(x -> x.phase() == phase).isEmpty()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** On every controller: from a machine about to be taken away, work that can save is stopped in time, gangs as a whole. */
+    void drainNoticed() {
+        for (Map.Entry<String, Sessions.Session> e : sessions.all().entrySet()) {
+            if (e.getValue().report.flatMap(r -> r.notice()).isEmpty()) {
+                continue;
+            }
+            HostRecord h = replica.hosts().get(e.getKey());
+            if (h == null || !hostDesk.commands(h)) {
+                continue;
+            }
+            for (Placed p : replica.claimsOn(h.id())) {
+                JobRecord j = p.job();
+                if (committer.isLocked(Keys.job(j.id())) || !j.open() || p.claim().stopping() || j.mode() == JobRecord.Mode.STOP || !(j.job().saves() || j.mode() == JobRecord.Mode.HOLD)) {
+                    continue;
+                }
+                decisions.tell(LOG, "machine {} is about to be taken away; {} stops there", h.id(), j.job().gang() ? "gang " + j.id() : "task " + j.id() + "/" + p.claim().task());
+                String key = Keys.job(j.id());
+                var txn = new Txn().guard(Keys.host(h.id()), replica.stamp(Keys.host(h.id()))).guard(key, replica.stamp(key));
+                committer.propose(Committer.Lane.PLACING, txn.write(key, (j.job().gang() ? j.stopGang() : stopAllOn(j, h.id())).toNode()), r -> { });
+            }
+        }
+    }
+
+    private static JobRecord stopAllOn(JobRecord j, String host) {
+        JobRecord changed = j;
+        for (Claim c : j.claims()) {
+            if (c.host().equals(host)) {
+                changed = changed.stopTask(c.task());
+            }
+        }
+        return changed;
+    }
+}
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -4,17 +4,21 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.dunespindle.bookkeeping.HostRecord;
 import org.dunespindle.bookkeeping.Keys;
 import org.dunespindle.bookkeeping.Replica;
-import org.dunespindle.bookkeeping.Replica.Placed;
 import org.dunespindle.bookkeeping.Timeline;
-import org.dunespindle.bookkeeping.Txn;
 import org.dunespindle.bookkeeping.TxnResult;
+import org.dunespindle.protocol.ExitCause;
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.Order;
 import org.dunespindle.protocol.Pack;
@@ -26,82 +30,176 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Dealings with workers: reports, direct commands, and who commands which machine. */
+/**
+ * Dealings with workers: reports, direct commands, and who commands which machine. A machine is attended to
+ * when something about it changed, never just because time passed: there are many, and most are as they were.
+ */
 public final class HostDesk {
     private static final Logger LOG = LoggerFactory.getLogger(HostDesk.class);
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(2500);
+    private static final Duration INSPECT_TIMEOUT = Duration.ofMillis(1500);
     private static final Duration CALL_PAUSE = Duration.ofMillis(1000);
+    private static final Duration REFUSED_PAUSE = Duration.ofMillis(200);
     private static final Duration KEEP = Duration.ofSeconds(40);
     private static final Duration STRAY_GAP = Duration.ofMillis(700);
     private static final Duration STRAY_MEMORY = Duration.ofSeconds(12);
     private static final Duration START_VIEW = Duration.ofSeconds(3);
+    private static final Duration ONE_WAY_AFTER = Duration.ofSeconds(5);
+    private static final Duration TURNED_AWAY_MEMORY = Duration.ofSeconds(40);
+    private static final Duration TURNED_AWAY_GAP = Duration.ofMillis(1500);
+    private static final int STRAYS_UNSEEN = 4;
     private static final int ORDERS_AT_ONCE = 200;
+    private static final int MOST_KEPT_EXITS = 6;
     private final Settings settings;
     private final Replica replica;
     private final Membership membership;
-    private final Committer committer;
+    private final MachineEdits edits;
     private final Caller http;
     private final Timeline timeline;
     private final Sessions sessions;
     private final Decisions decisions;
+    private final BooleanSupplier cutOff;
     private final Runnable changed;
     /** Views older than this no longer entitle: a cancellation told elsewhere may be unknown here. */
     private final Duration viewLimit;
+    private Set<String> due = new LinkedHashSet<>();
+    private final Set<String> withEvents = new LinkedHashSet<>();
+    private long version;
+    private long reports;
+    private long calls;
 
-    public HostDesk(Settings settings, Replica replica, Membership membership, Committer committer, Caller http, Timeline timeline, Sessions sessions, Decisions decisions, Runnable changed) {
+    public HostDesk(Settings settings, Replica replica, Membership membership, MachineEdits edits, Caller http, Timeline timeline, Sessions sessions, Decisions decisions,
+            BooleanSupplier cutOff, Runnable changed) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
-        this.committer = committer;
+        this.edits = edits;
         this.http = http;
         this.timeline = timeline;
         this.sessions = sessions;
         this.decisions = decisions;
+        this.cutOff = cutOff;
         this.changed = changed;
         Duration spare = settings.workers().cancel().minus(settings.workers().lease()).minus(Duration.ofSeconds(4));
         this.viewLimit = spare.compareTo(Duration.ofSeconds(2)) < 0 ? Duration.ofSeconds(2) : spare;
     }
 
+    /** Grows whenever what machines here can take, or what became of their tasks, may have changed. */
+    public long version() {
+        return version;
+    }
+
+    public long reports() {
+        return reports;
+    }
+
+    public long calls() {
+        return calls;
+    }
+
+    /** Machines with outcomes that are not stored yet. */
+    public Set<String> withEvents() {
+        return withEvents;
+    }
+
+    /** Asks for a machine to be looked at in the next pass. */
+    public void attend(String host) {
+        due.add(host);
+    }
+
     /** Answers a report: status and body. */
     public void report(WorkerReport r, BiConsumer<Integer, ObjectNode> answer) {
+        reports++;
         Sessions.Session session = sessions.of(r.host());
-        session.heardAt = Optional.of(timeline.now());
-        session.accept(r);
+        Optional<WorkerReport> before = session.report;
+        boolean newer = session.accept(r, timeline.now());
         if (!replica.loaded() || membership.incarnation() == 0 || replica.age().compareTo(viewLimit) > 0) {
-            answer.accept(503, Pack.map().put("error", "this controller does not know the present state"));
+            answer.accept(503, error("this controller does not know the present state"));
             return;
         }
         HostRecord record = replica.hosts().get(r.host());
-        if (record == null) {
-            unknown(r, answer);
+        if (cutOff.getAsBoolean()) {
+            answerCutOff(r, record, session, answer);
+        } else if (record == null) {
+            unknown(r, session, newer, answer);
         } else if (membership.owns(record)) {
-            answerOwned(r, record, session, answer);
-            changed.run();
+            answerOwned(r, record, session, newer, answer);
+            if (newer && r.token() == record.token()) {
+                session.heardAt = Optional.of(timeline.now());
+            }
+            if (newer && before.filter(b -> b.sameAs(r)).isEmpty()) {
+                version++;
+                due.add(r.host());
+                changed.run();
+            }
         } else {
-            stray(r, record, session, answer);
+            stray(r, record, session, newer, answer);
         }
     }
 
-    private void answerOwned(WorkerReport r, HostRecord record, Sessions.Session session, BiConsumer<Integer, ObjectNode> answer) {
-        // Halts ride along for a worker that reaches this controller but cannot be reached; starts never do.
-        List<Order> halts = session.calling || replica.syncedTo() < replica.stamp(Keys.host(r.host())) ? List.of()
-                : Reconciler.judge(replica.claimsOn(r.host()), r).orders().stream().filter(o -> o instanceof Order.Halt).limit(ORDERS_AT_ONCE).toList();
-        answer.accept(200, Order.reply(record.token(), halts));
+    private static ObjectNode error(String text) {
+        return Pack.map().put("error", text);
+    }
+
+    private void answerOwned(WorkerReport r, HostRecord record, Sessions.Session session, boolean newer, BiConsumer<Integer, ObjectNode> answer) {
+        // Halts ride along for a worker that reaches this controller but cannot be reached, and forgetting has time; starts never ride.
+        boolean proof = newer && r.token() == record.token() && session.unansweredUnder.isEmpty() && !session.calling && replica.syncedTo() >= replica.stamp(Keys.host(r.host()));
+        List<Order> orders = !proof ? List.of() : keepExits(record, session, Reconciler.judge(replica.claimsOn(r.host()), r).orders()).stream()
+                .filter(o -> !(o instanceof Order.Run)).limit(ORDERS_AT_ONCE).toList();
+        answer.accept(200, Order.reply(record.token(), orders));
+    }
+
+    /**
+     * This controller reaches neither the state service nor a controller that does, yet workers reach it. Whoever can
+     * act takes its machines over, so its workers are sent to find that one. One that comes back was turned
+     * away everywhere: it is better kept alive than left to die, as long as no cancellation can have been missed.
+     */
+    private void answerCutOff(WorkerReport r, HostRecord record, Sessions.Session session, BiConsumer<Integer, ObjectNode> answer) {
+        Duration now = timeline.now();
+        boolean ours = record != null && membership.owns(record) && r.token() <= record.token();
+        Optional<Duration> away = session.turnedAwayAt.map(now::minus).filter(d -> d.compareTo(TURNED_AWAY_MEMORY) < 0);
+        boolean cameBack = away.filter(d -> d.compareTo(TURNED_AWAY_GAP) > 0).isPresent();
+        if (ours && (cameBack || !hearsOtherZones())) {
+            answer.accept(200, Order.reply(record.token(), List.of()));
+            return;
+        }
+        if (away.isEmpty()) {
+            session.turnedAwayAt = Optional.of(now);
+        }
+        answer.accept(503, error("this controller is cut off from the state service and the others"));
+    }
+
+    /** In a cut between zones only the own zone's workers are heard, and nobody else can answer them. */
+    private boolean hearsOtherZones() {
+        Duration recent = settings.workers().report().multipliedBy(2).plusSeconds(1);
+        for (Sessions.Session s : sessions.all().values()) {
+            if (s.heardAt.isPresent() && timeline.now().minus(s.heardAt.get()).compareTo(recent) < 0 && s.report.filter(x -> !x.zone().equals(settings.zone())).isPresent()) {
+                return true;
+            }
+        }
+        return false;
     }
 
-    private void unknown(WorkerReport r, BiConsumer<Integer, ObjectNode> answer) {
+    /** A machine that no record names. Its report may be a late copy and the machine long gone, so it is asked itself first. */
+    private void unknown(WorkerReport r, Sessions.Session session, boolean newer, BiConsumer<Integer, ObjectNode> answer) {
         Optional<String> steward = membership.hashed(r.host());
         if (!membership.joined() || steward.isEmpty()) {
-            answer.accept(503, Pack.map().put("error", "not a member yet"));
+            answer.accept(503, error("not a member yet"));
         } else if (!steward.get().equals(settings.nodeName())) {
             answer.accept(421, Pack.map().put("steward", steward.get()));
-        } else if (committer.isLocked(Keys.host(r.host()))) {
-            answer.accept(503, Pack.map().put("error", "machine is being taken up"));
+        } else if (!newer || session.verifying || edits.busy(r.host())) {
+            answer.accept(503, error("machine is being taken up"));
         } else {
-            var record = new HostRecord(r.host(), r.address(), r.type(), r.zone(), r.spot(), settings.nodeName(), membership.incarnation(), r.token() + 1,
-                    timeline.wallTime(), Instant.EPOCH, false, "");
-            decisions.tell(LOG, "machine {} reported without having been rented by us; taken up", r.host());
-            committer.propose(new Txn().guard(Keys.host(r.host()), 0).write(Keys.host(r.host()), record.toNode()), answerAfter(r, answer));
+            verify(r, session, alive -> {
+                if (!alive || replica.hosts().containsKey(r.host())) {
+                    answer.accept(503, error("machine could not be taken up"));
+                    return;
+                }
+                var record = new HostRecord(r.host(), r.address(), r.type(), r.zone(), r.spot(), settings.nodeName(), membership.incarnation(),
+                        session.report.map(WorkerReport::token).orElse(r.token()) + 1, timeline.wallTime(), Instant.EPOCH, false, "");
+                decisions.tell(LOG, "machine {} reported without having been rented by us; taken up", r.host());
+                edits.change(Committer.Lane.PLACING, record, answerAfter(r, answer));
+            });
         }
     }
 
@@ -111,17 +209,32 @@
             if (result instanceof TxnResult.Applied && now != null && membership.owns(now)) {
                 answer.accept(200, Order.reply(now.token(), List.of()));
             } else {
-                answer.accept(503, Pack.map().put("error", "machine could not be taken up"));
+                answer.accept(503, error("machine could not be taken up"));
             }
         };
     }
 
+    /** Asks a worker itself: only an answer shows that it is there, and that commands from here reach it. */
+    private void verify(WorkerReport r, Sessions.Session session, Consumer<Boolean> then) {
+        session.verifying = true;
+        http.send(r.address(), "GET", "/inspect", new byte[0], Pack.TYPE, INSPECT_TIMEOUT).whenComplete((a, e) -> {
+            session.verifying = false;
+            then.accept(a != null && a.status() == 200 && answered(r.host(), session, a.body()));
+        });
+    }
+
     /**
      * A worker that reports here though another controller owns its machine is sent there. When it comes
-     * back soon, it could not reach the owner (a cut zone, a crash): then the machine changes hands.
+     * back soon, it could not reach the owner (a cut zone, a crash): then the machine changes hands. Late copies of
+     * reports count for nothing, and the worker itself is asked before its tasks' token is raised.
      */
-    private void stray(WorkerReport r, HostRecord record, Sessions.Session session, BiConsumer<Integer, ObjectNode> answer) {
+    private void stray(WorkerReport r, HostRecord record, Sessions.Session session, boolean newer, BiConsumer<Integer, ObjectNode> answer) {
         Duration now = timeline.now();
+        Runnable sendOn = () -> answer.accept(421, Pack.map().put("steward", membership.isAlive(record.owner(), record.incarnation()) ? record.owner() : membership.hashed(r.host()).orElse(record.owner())));
+        if (!newer) {
+            sendOn.run();
+            return;
+        }
         long stamp = replica.stamp(Keys.host(r.host()));
         Duration since = now.minus(session.strayAt);
         if (session.strayStamp != stamp || since.compareTo(STRAY_MEMORY) > 0) {
@@ -132,18 +245,41 @@
             session.strays++;
             session.strayAt = now;
         }
-        boolean ownerGone = !membership.isAlive(record.owner(), record.incarnation());
-        if (membership.joined() && (session.strays >= 2 || ownerGone) && !committer.isLocked(Keys.host(r.host()))) {
-            decisions.tell(LOG, "machine {} cannot reach its controller {}; taken over", r.host(), record.owner());
-            take(record, session.strays >= 2 ? timeline.wallTime().plus(KEEP) : Instant.EPOCH, answerAfter(r, answer));
+        if (!membership.joined() || session.verifying || edits.busy(r.host())) {
+            sendOn.run();
+        } else if (!membership.isAlive(record.owner(), record.incarnation()) && membership.hashed(r.host()).filter(settings.nodeName()::equals).isPresent()) {
+            take(record, Instant.EPOCH, answerAfter(r, answer));
+        } else if (session.strays >= 2) {
+            verify(r, session, alive -> {
+                HostRecord present = replica.hosts().get(r.host());
+                // A worker that reaches only this controller, and that nobody reaches, is taken over once it has insisted.
+                boolean insists = session.strays >= STRAYS_UNSEEN && r.token() == record.token();
+                if (present != null && !membership.owns(present) && (alive || insists)) {
+                    decisions.tell(LOG, "machine {} cannot reach its controller {}; taken over", r.host(), present.owner());
+                    take(present, timeline.wallTime().plus(KEEP), answerAfter(r, answer));
+                } else {
+                    sendOn.run();
+                }
+            });
         } else {
-            answer.accept(421, Pack.map().put("steward", record.owner()));
+            sendOn.run();
         }
     }
 
     /** Becomes a machine's owner by raising its token. */
     public void take(HostRecord record, Instant keep, Consumer<TxnResult> then) {
-        committer.propose(replica.rewrite(record.ownedBy(settings.nodeName(), membership.incarnation(), keep)), then);
+        take(record, address(record), keep, then);
+    }
+
+    /** The same for a machine whose address somebody else told: it can be commanded before it finds its way here. */
+    public void take(HostRecord record, String address, Instant keep, Consumer<TxnResult> then) {
+        HostRecord mine = record.ownedBy(settings.nodeName(), membership.incarnation(), keep).at(address);
+        long seen = sessions.known(record.id()).flatMap(s -> s.report).map(WorkerReport::token).orElse(0L);
+        edits.change(Committer.Lane.PLACING, mine.above(seen), then);
+    }
+
+    private String address(HostRecord record) {
+        return sessions.known(record.id()).flatMap(s -> s.report).map(WorkerReport::address).orElse(record.address());
     }
 
     /** Whether conclusions about this machine may be drawn and orders given here and now. */
@@ -151,108 +287,233 @@
         return membership.owns(record) && replica.syncedTo() >= replica.stamp(Keys.host(record.id()));
     }
 
-    /** A worker under our token whose last report stands: its machine can take tasks. */
+    /** A worker under our token whose last report stands and whom commands reach: its machine can take tasks. */
     public boolean ready(HostRecord record) {
-        Sessions.Session s = sessions.of(record.id());
-        return commands(record) && !record.leaving() && s.report.isPresent() && s.report.get().token() == record.token() && s.unansweredUnder.isEmpty();
+        Optional<Sessions.Session> s = sessions.known(record.id());
+        return s.isPresent() && commands(record) && !record.leaving() && s.get().report.isPresent() && s.get().report.get().token() == record.token()
+                && s.get().unansweredUnder.isEmpty() && s.get().unprovenSince.isEmpty();
+    }
+
+    /** How long a machine has reported without taking commands; empty while it takes them. */
+    public Optional<Duration> oneWayFor(String host) {
+        return sessions.known(host).flatMap(s -> s.unprovenSince).map(timeline.now()::minus);
+    }
+
+    /** One pass over the machines about which something changed: sends orders, notes what became of claims. */
+    public void pass() {
+        due.addAll(replica.takeTouched());
+        if (due.isEmpty()) {
+            return;
+        }
+        Set<String> now = due;
+        due = new LinkedHashSet<>();
+        now.forEach(this::attendNow);
+    }
+
+    private void attendNow(String host) {
+        HostRecord record = replica.hosts().get(host);
+        Optional<Sessions.Session> known = sessions.known(host);
+        if (record == null || !membership.owns(record)) {
+            known.ifPresent(s -> events(host, s, List.of()));
+            return;
+        }
+        if (!commands(record)) {
+            due.add(host); // until everything up to the record that made this controller the owner is read
+            return;
+        }
+        Sessions.Session s = sessions.of(host);
+        if (s.calling) {
+            return; // the answer brings it back
+        }
+        if (s.unansweredUnder.isPresent() && !fenced(record, s)) {
+            return;
+        }
+        if (s.report.isPresent() && s.report.get().token() > record.token()) {
+            if (!edits.busy(host)) {
+                edits.change(Committer.Lane.PLACING, record.fenced().above(s.report.get().token()), r -> due.add(host));
+            }
+        } else if (s.proves(record.token())) {
+            conclude(record, s);
+        } else {
+            events(host, s, List.of());
+            call(record, s, List.of());
+        }
     }
 
-    /** One pass over the machines commanded here: sends orders, returns what became of claims. */
-    public List<Reconciler.Event> pass() {
-        var events = new ArrayList<Reconciler.Event>();
-        for (HostRecord record : List.copyOf(replica.hosts().values())) {
-            if (!commands(record)) {
-                continue;
+    private void conclude(HostRecord record, Sessions.Session s) {
+        WorkerReport report = s.report.get();
+        Reconciler.Verdict v = Reconciler.judge(replica.claimsOn(record.id()), report);
+        report.tasks().forEach(t -> {
+            if (t.phase() == TaskPhase.RUNNING || t.phase() == TaskPhase.ASSEMBLING) {
+                replica.job(t.task().job()).flatMap(j -> j.spec()).ifPresent(spec -> s.fetched(spec.image()));
             }
-            Sessions.Session s = sessions.of(record.id());
-            if (s.calling) {
-                continue;
+        });
+        List<Order> orders = keepExits(record, s, v.orders());
+        var events = v.events();
+        // An old view may miss a cancellation: it stops tasks, but starts none.
+        boolean startsWait = replica.age().compareTo(START_VIEW) >= 0;
+        if (s.unprovenSince.isPresent()) {
+            startsWait = true;
+            if (oneWayFor(record.id()).filter(d -> d.compareTo(ONE_WAY_AFTER) > 0).isPresent()) {
+                events = withoutStarts(v);
             }
-            if (s.unansweredUnder.isPresent()) {
-                fence(record, s);
-            } else if (s.proves(record.token())) {
-                Reconciler.Verdict v = Reconciler.judge(replica.claimsOn(record.id()), s.report.get());
-                events.addAll(v.events());
-                // An old view may miss a cancellation: it stops tasks, but starts none.
-                boolean fresh = replica.age().compareTo(START_VIEW) < 0;
-                List<Order> orders = fresh ? v.orders() : v.orders().stream().filter(o -> !(o instanceof Order.Run)).toList();
-                if (!orders.isEmpty()) {
-                    call(record, s, orders);
-                }
+        }
+        events(record.id(), s, events);
+        if (startsWait && orders.stream().anyMatch(o -> o instanceof Order.Run)) {
+            due.add(record.id());
+            orders = orders.stream().filter(o -> !(o instanceof Order.Run)).toList();
+        }
+        if (s.unprovenSince.isPresent()) {
+            call(record, s, List.of()); // nothing is started before a command is known to arrive
+        } else if (orders.stream().anyMatch(o -> !(o instanceof Order.Forget))) {
+            call(record, s, orders);
+        }
+    }
+
+    /** On a machine that takes no commands, a task that its report shows absent, with no start under way, is free to start elsewhere. */
+    private static List<Reconciler.Event> withoutStarts(Reconciler.Verdict v) {
+        var events = new ArrayList<>(v.events());
+        v.orders().forEach(o -> {
+            if (o instanceof Order.Run run) {
+                events.add(new Reconciler.Event(run.task().job(), run.task().index(), Reconciler.Fate.GONE, "the machine takes no commands"));
+            }
+        });
+        return events;
+    }
+
+    private void events(String host, Sessions.Session s, List<Reconciler.Event> events) {
+        if (s.events.isEmpty() && events.isEmpty()) {
+            return;
+        }
+        if (!s.events.equals(events)) {
+            version++;
+            if (s.events.isEmpty()) {
+                s.eventsSince = timeline.now();
+            }
+            s.events = events;
+        }
+        if (events.isEmpty()) {
+            withEvents.remove(host);
+        } else {
+            withEvents.add(host);
+        }
+    }
+
+    /**
+     * A worker that has forgotten an attempt would start it again on a late copy of the command. So one that ended without
+     * being done is kept in its reports until a higher token has voided all copies; when several are, the token is raised.
+     */
+    private List<Order> keepExits(HostRecord record, Sessions.Session s, List<Order> orders) {
+        if (s.starts.isEmpty() || s.startsToken != record.token() || orders.isEmpty()) {
+            return orders;
+        }
+        var done = new HashSet<Order.Run>();
+        s.report.ifPresent(r -> r.tasks().forEach(t -> {
+            if (t.exited() && t.cause().orElse(ExitCause.STOPPED) == ExitCause.DONE) {
+                done.add(new Order.Run(t.task(), t.attempt()));
+            }
+        }));
+        var kept = new ArrayList<Order>();
+        int held = 0;
+        for (Order o : orders) {
+            if (o instanceof Order.Forget f && s.mayStartAgain(f, record.token()) && !done.contains(new Order.Run(f.task(), f.attempt()))) {
+                held++;
             } else {
-                call(record, s, List.of());
+                kept.add(o);
             }
         }
-        return events;
+        if (held > MOST_KEPT_EXITS && !edits.busy(record.id())) {
+            edits.change(Committer.Lane.KEEPING, record.fenced(), r -> { });
+        }
+        return kept;
     }
 
-    /** A start that went unanswered may still land: a higher token, once the worker has seen it, rules that out. */
-    private void fence(HostRecord record, Sessions.Session s) {
+    /**
+     * A start that went unanswered may still land: a higher token, once the worker has seen it, rules that out. A machine
+     * that stays silent needs none: it is returned.
+     */
+    private boolean fenced(HostRecord record, Sessions.Session s) {
         if (record.token() > s.unansweredUnder.get()) {
             s.unansweredUnder = Optional.empty();
-        } else if (!committer.isLocked(Keys.host(record.id()))) {
-            committer.propose(replica.rewrite(record.fenced()), r -> { });
+            return true;
+        }
+        if (s.heardAt.filter(t -> t.compareTo(s.unansweredAt) > 0).isPresent()) {
+            if (!edits.busy(record.id())) {
+                edits.change(Committer.Lane.PLACING, record.fenced(), r -> due.add(record.id()));
+            }
+        } else {
+            call(record, s, List.of());
         }
+        return false;
     }
 
     private void call(HostRecord record, Sessions.Session s, List<Order> orders) {
-        String address = s.report.map(WorkerReport::address).orElse(record.address());
+        String address = address(record);
         if (address.isEmpty() || timeline.now().compareTo(s.callAgainAt) < 0) {
-            return;
+            return; // a timer brings it back
         }
         List<Order> some = orders.size() > ORDERS_AT_ONCE ? orders.subList(0, ORDERS_AT_ONCE) : orders;
         boolean starts = some.stream().anyMatch(o -> o instanceof Order.Run);
         long session = s.report.map(WorkerReport::session).orElse(1L);
-        s.calling = true;
         long token = record.token();
+        s.starting(token, session, some);
+        s.calling = true;
+        calls++;
         http.send(address, "POST", "/orders", Pack.write(Order.command(token, session, some)), Pack.TYPE, ORDER_TIMEOUT).whenComplete((a, e) -> {
             s.calling = false;
+            version++;
             if (a != null && (a.status() == 200 || a.status() == 409)) {
-                if (!answered(record, s, a.body()) && starts) {
-                    s.unansweredUnder = Optional.of(token);
+                if (!answered(record.id(), s, a.body()) && starts) {
+                    unanswered(record, s, token);
                 }
-                s.callAgainAt = a.status() == 200 ? Duration.ZERO : timeline.now().plus(Duration.ofMillis(200));
+                pause(record.id(), s, a.status() == 200 ? Duration.ZERO : REFUSED_PAUSE);
             } else {
+                if (s.report.isPresent()) {
+                    s.unanswered(timeline.now()); // one that never reported may still be booting
+                }
                 boolean sent = e == null || !(unwrap(e) instanceof CallFailure f) || f.sent();
                 if (starts && sent && (a == null || a.status() >= 500)) {
-                    s.unansweredUnder = Optional.of(token);
-                    decisions.tell(LOG, "machine {} did not answer a start; it is fenced before anything is concluded", record.id());
+                    unanswered(record, s, token);
                 }
-                s.callAgainAt = timeline.now().plus(CALL_PAUSE);
+                pause(record.id(), s, CALL_PAUSE);
             }
-            changed.run();
         });
     }
 
+    private void unanswered(HostRecord record, Sessions.Session s, long token) {
+        s.unansweredUnder = Optional.of(token);
+        s.unansweredAt = timeline.now();
+        decisions.tell(LOG, "machine {} did not answer a start; it is fenced before anything is concluded", record.id());
+    }
+
+    private void pause(String host, Sessions.Session s, Duration pause) {
+        s.callAgainAt = timeline.now().plus(pause);
+        if (pause.isZero()) {
+            due.add(host);
+            changed.run();
+        } else {
+            timeline.after(pause, () -> {
+                due.add(host);
+                changed.run();
+            });
+        }
+    }
+
     private static Throwable unwrap(Throwable e) {
-        return e instanceof java.util.concurrent.CompletionException && e.getCause() != null ? e.getCause() : e;
+        return e instanceof CompletionException && e.getCause() != null ? e.getCause() : e;
     }
 
-    private boolean answered(HostRecord record, Sessions.Session s, byte[] body) {
+    private boolean answered(String host, Sessions.Session s, byte[] body) {
         try {
             WorkerReport r = WorkerReport.parse(Pack.read(body));
-            if (r.host().equals(record.id())) {
-                s.heardAt = Optional.of(timeline.now());
-                s.accept(r);
+            if (r.host().equals(host)) {
+                s.accept(r, timeline.now());
+                s.answered(timeline.now());
                 return true;
             }
         } catch (MalformedException ex) {
-            LOG.debug("machine {} answered unreadably: {}", record.id(), ex.getMessage());
+            LOG.debug("machine {} answered unreadably: {}", host, ex.getMessage());
         }
         return false;
     }
-
-    /** Keeps track of images, errors and idleness from the reports of owned machines. */
-    public void observe(HostRecord record) {
-        Sessions.Session s = sessions.of(record.id());
-        s.report.ifPresent(r -> r.tasks().forEach(t -> {
-            if (t.phase() == TaskPhase.RUNNING || t.phase() == TaskPhase.ASSEMBLING) {
-                replica.job(t.task().job()).flatMap(j -> j.spec()).ifPresent(spec -> s.fetched(spec.image()));
-            }
-        }));
-        List<Placed> claims = replica.claimsOn(record.id());
-        if (!claims.isEmpty()) {
-            s.idleSince = timeline.now();
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/MachineEdits.java
@@ -0,0 +1,104 @@
+package org.dunespindle.coordination;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.dunespindle.bookkeeping.HostRecord;
+import org.dunespindle.bookkeeping.Keys;
+import org.dunespindle.bookkeeping.Replica;
+import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.bookkeeping.Txn;
+import org.dunespindle.bookkeeping.TxnResult;
+
+/**
+ * Changes to machines' records, gathered for a moment: machines that share a page then change in one
+ * write. Each change rests on the record as read when it was asked for; if the page has changed since,
+ * all of it is dropped and decided anew.
+ */
+public final class MachineEdits {
+    private static final Duration GATHER = Duration.ofMillis(2);
+    private final Replica replica;
+    private final Committer committer;
+    private final Timeline timeline;
+    private final Map<String, Edit> open = new LinkedHashMap<>();
+    private boolean timerSet;
+
+    private static final class Edit {
+        final long stamp;
+        final Map<String, Optional<HostRecord>> changes = new HashMap<>();
+        final List<Consumer<TxnResult>> then = new ArrayList<>();
+        Committer.Lane lane = Committer.Lane.KEEPING;
+
+        Edit(long stamp) {
+            this.stamp = stamp;
+        }
+    }
+
+    public MachineEdits(Replica replica, Committer committer, Timeline timeline) {
+        this.replica = replica;
+        this.committer = committer;
+        this.timeline = timeline;
+    }
+
+    /** Whether a change to this machine is under way, or to one that shares its page. */
+    public boolean busy(String host) {
+        String key = Keys.host(host);
+        return committer.isLocked(key) || open.containsKey(key) && open.get(key).changes.containsKey(host);
+    }
+
+    /** Writes a machine's new record. */
+    public void change(Committer.Lane lane, HostRecord to, Consumer<TxnResult> then) {
+        edit(lane, to.id(), Optional.of(to), then);
+    }
+
+    /** Drops the record of a machine that is proven gone. */
+    public void remove(String host, Consumer<TxnResult> then) {
+        edit(Committer.Lane.KEEPING, host, Optional.empty(), then);
+    }
+
+    private void edit(Committer.Lane lane, String host, Optional<HostRecord> to, Consumer<TxnResult> then) {
+        String key = Keys.host(host);
+        if (committer.isLocked(key)) {
+            then.accept(new TxnResult.Refused(0, "another change is under way"));
+            return;
+        }
+        long stamp = replica.stamp(key);
+        Edit edit = open.get(key);
+        if (edit != null && (edit.stamp != stamp || edit.changes.containsKey(host))) {
+            then.accept(new TxnResult.Conflict(Set.of(key)));
+            return;
+        }
+        if (edit == null) {
+            edit = new Edit(stamp);
+            open.put(key, edit);
+        }
+        edit.changes.put(host, to);
+        edit.then.add(then);
+        edit.lane = lane.compareTo(edit.lane) < 0 ? lane : edit.lane;
+        if (!timerSet) {
+            timerSet = true;
+            timeline.after(GATHER, this::flush);
+        }
+    }
+
+    private void flush() {
+        timerSet = false;
+        var edits = new LinkedHashMap<>(open);
+        open.clear();
+        edits.forEach((key, edit) -> {
+            Consumer<TxnResult> all = r -> edit.then.forEach(t -> t.accept(r));
+            if (replica.stamp(key) != edit.stamp || committer.isLocked(key)) {
+                all.accept(new TxnResult.Conflict(Set.of(key)));
+            } else {
+                Txn txn = replica.rewrite(key, edit.changes);
+                committer.propose(edit.lane, txn, all);
+            }
+        });
+    }
+}
--- a/src/main/java/org/dunespindle/coordination/Membership.java
+++ b/src/main/java/org/dunespindle/coordination/Membership.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.dunespindle.bookkeeping.HostRecord;
@@ -30,6 +32,8 @@
     private final StateClient state;
     private final Replica replica;
     private final Timeline timeline;
+    private final Map<String, Optional<String>> hashes = new HashMap<>();
+    private long hashedFor = -1;
     private long incarnation;
     private OptionalLong lease = OptionalLong.empty();
     private boolean joining;
@@ -72,8 +76,24 @@
         return joined() && replica.value(Keys.LEADER).filter(v -> v.path("node").asText().equals(node) && v.path("inc").longValue() == incarnation).isPresent();
     }
 
-    /** The live controller that a machine hashes to (highest random weight, so that few move when one leaves). */
+    /**
+     * The live controller that a machine hashes to (highest random weight, so that few move when one leaves). Machines
+     * that share a page hash together, so that a change of hands costs one write for all of them.
+     */
     public Optional<String> hashed(String host) {
+        if (hashedFor != replica.memberVersion()) {
+            hashedFor = replica.memberVersion();
+            hashes.clear();
+        }
+        return hashes.computeIfAbsent(Keys.page(host), this::weigh);
+    }
+
+    /** The live controller that looks after a job first. */
+    public Optional<String> homeOf(String job) {
+        return weigh(job);
+    }
+
+    private Optional<String> weigh(String host) {
         String best = null;
         int bestWeight = 0;
         for (String name : replica.members().keySet()) {
--- a/src/main/java/org/dunespindle/coordination/Options.java
+++ b/src/main/java/org/dunespindle/coordination/Options.java
@@ -41,6 +41,7 @@
         k.put("boot_patience", new Kind(1, 20, true, 3, "multiple of the boot time after which a machine that never reported is given back"));
         k.put("spare_jobs", new Kind(0, 10, true, 1, "typical next jobs of each class with a wait aim that spare room is kept for"));
         k.put("borrowed_machines", new Kind(0, 100_000, true, 100_000, "machines of other controllers that the leader may borrow at a time for gangs"));
+        k.put("lent_s", new Kind(0, 86_400, false, 60, "how long the leader keeps a borrowed machine after the last gang on it"));
         return k;
     }
 
@@ -106,6 +107,10 @@
         return (int) value("borrowed_machines");
     }
 
+    public Duration lentAtLeast() {
+        return seconds("lent_s");
+    }
+
     /** All options with value, range, default and meaning. */
     public ArrayNode describe() {
         ArrayNode list = Pack.map().putArray("options");
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/Ownership.java
@@ -0,0 +1,131 @@
+package org.dunespindle.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.dunespindle.bookkeeping.HostRecord;
+import org.dunespindle.bookkeeping.Replica;
+import org.dunespindle.bookkeeping.Replica.Placed;
+import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.protocol.Settings;
+
+/**
+ * Who commands which machine: machines are hashed among the live controllers, and the leader borrows those that
+ * gangs are placed on. A borrowed machine stays while gangs come back to it, and is returned when none has for
+ * a while, since every change of hands costs writes and a call.
+ */
+final class Ownership {
+    private static final Duration LOOK_EVERY = Duration.ofMillis(250);
+    private static final Duration RETURN_EVERY = Duration.ofSeconds(5);
+    private final Settings settings;
+    private final Replica replica;
+    private final Membership membership;
+    private final HostDesk hostDesk;
+    private final MachineEdits edits;
+    private final Peers peers;
+    private final Sessions sessions;
+    private final Timeline timeline;
+    private final Supplier<Options> options;
+    private final Map<String, Duration> gangAt = new HashMap<>();
+    private Duration lookAgainAt = Duration.ZERO;
+    private Duration returnAgainAt = Duration.ZERO;
+
+    Ownership(Settings settings, Replica replica, Membership membership, HostDesk hostDesk, MachineEdits edits, Peers peers, Sessions sessions, Timeline timeline, Supplier<Options> options) {
+        this.settings = settings;
+        this.replica = replica;
+        this.membership = membership;
+        this.hostDesk = hostDesk;
+        this.edits = edits;
+        this.peers = peers;
+        this.sessions = sessions;
+        this.timeline = timeline;
+        this.options = options;
+    }
+
+    /** Takes over machines whose controller is gone, and hands back or on those that hash elsewhere. */
+    void tick(Planner.Plan plan) {
+        Duration now = timeline.now();
+        if (now.compareTo(lookAgainAt) < 0) {
+            return;
+        }
+        lookAgainAt = now.plus(LOOK_EVERY);
+        boolean returning = now.compareTo(returnAgainAt) >= 0;
+        if (returning) {
+            returnAgainAt = now.plus(RETURN_EVERY);
+            gangAt.keySet().retainAll(replica.hosts().keySet());
+        }
+        takeOver(true); // what runs is in a hurry, what idles is not
+        takeOver(false);
+        for (HostRecord h : replica.hosts().values()) {
+            if (!membership.owns(h)) {
+                continue;
+            }
+            if (hasGang(h) || plan.gangHosts().contains(h.id())) {
+                gangAt.put(h.id(), now);
+            } else if (returning) {
+                handOver(h, now);
+            }
+        }
+    }
+
+    private void takeOver(boolean used) {
+        for (HostRecord h : replica.hosts().values()) {
+            if (membership.isAlive(h.owner(), h.incarnation()) || replica.claimsOn(h.id()).isEmpty() == used || edits.busy(h.id())) {
+                continue;
+            }
+            Optional<String> home = hasGang(h) ? membership.leader() : membership.hashed(h.id());
+            if (home.filter(settings.nodeName()::equals).isPresent() || h.owner().equals(settings.nodeName())) {
+                hostDesk.take(h, Instant.EPOCH, r -> { });
+            }
+        }
+    }
+
+    private boolean hasGang(HostRecord h) {
+        List<Placed> claims = replica.claimsOn(h.id());
+        for (Placed p : claims) {
+            if (p.job().spec().isPresent() && p.job().job().gang()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void handOver(HostRecord h, Duration now) {
+        Optional<String> home = membership.hashed(h.id());
+        if (home.isEmpty() || home.get().equals(settings.nodeName()) || edits.busy(h.id())) {
+            return;
+        }
+        Duration kept = membership.leads() ? options.get().lentAtLeast() : Duration.ZERO;
+        Optional<Sessions.Session> s = sessions.known(h.id());
+        boolean calm = h.keepUntil().isBefore(timeline.wallTime()) && now.minus(gangAt.getOrDefault(h.id(), Duration.ZERO)).compareTo(kept) > 0
+                && s.filter(x -> x.calling || x.unansweredUnder.isPresent() || !x.events.isEmpty()).isEmpty();
+        Optional<Long> inc = membership.incarnationOf(home.get());
+        if (calm && inc.isPresent() && peers.word(home.get()).isPresent()) {
+            edits.change(Committer.Lane.KEEPING, h.ownedBy(home.get(), inc.get(), Instant.EPOCH), r -> { });
+        }
+    }
+
+    /** Gangs are the leader's: it takes the machines that they are planned on. */
+    void borrow(Planner.Plan plan) {
+        long borrowed = -1;
+        for (String host : plan.gangHosts()) {
+            HostRecord h = replica.hosts().get(host);
+            if (h == null || membership.owns(h) || h.leaving() || edits.busy(host) || !h.keepUntil().isBefore(timeline.wallTime())) {
+                continue;
+            }
+            if (borrowed < 0) {
+                borrowed = replica.hosts().values().stream().filter(membership::owns).filter(o -> membership.hashed(o.id()).filter(settings.nodeName()::equals).isEmpty()).count();
+            }
+            if (borrowed++ >= options.get().borrowedMachines()) {
+                return;
+            }
+            gangAt.put(host, timeline.now());
+            String address = peers.machine(h.owner(), host).map(Peers.Machine::address).filter(a -> !a.isEmpty()).orElse(h.address());
+            hostDesk.take(h, address, Instant.EPOCH, r -> { });
+        }
+    }
+}
--- a/src/main/java/org/dunespindle/coordination/Peers.java
+++ b/src/main/java/org/dunespindle/coordination/Peers.java
@@ -2,43 +2,71 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.protocol.Pack;
 import org.dunespindle.protocol.Settings;
 import org.dunespindle.transport.Caller;
 
 /**
- * What the controllers tell one another about once a second: which machines can take tasks, which were
- * heard lately and which are bad. Only advice: what is decided rests on the state service and on workers.
+ * What the controllers tell one another about once a second: how fresh their view is, what they need of the
+ * write rate, and, to the leader alone, what changed about their machines. Only advice: what is decided
+ * rests on the state service and on workers.
  */
 public final class Peers {
     private static final Duration TIMEOUT = Duration.ofMillis(1500);
     private static final Duration FRESH = Duration.ofSeconds(4);
+    private static final int MOST_AT_ONCE = 400;
     private static final ObjectMapper JSON = new ObjectMapper();
     private final Settings settings;
     private final Caller http;
     private final Timeline timeline;
+    private final LongSupplier incarnation;
+    private final Supplier<Optional<String>> leader;
     /** Told of machine and image: what a machine has fetched outlives the change of its owner. */
     private final BiConsumer<String, String> imageSeen;
     private final Map<String, Word> words = new HashMap<>();
+    private final Map<String, Heard> heard = new HashMap<>();
+    /** Up to which number each controller has taken our news. */
+    private final Map<String, Long> taken = new HashMap<>();
 
     /** The last word of a controller. */
-    public record Word(Duration at, Set<String> ready, Map<String, Duration> heardAt, Set<String> bad, Duration viewAge) {}
+    public record Word(Duration at, long incarnation, Duration viewAge, double writes, boolean hungry) {}
 
-    public Peers(Settings settings, Caller http, Timeline timeline, BiConsumer<String, String> imageSeen) {
-        this.imageSeen = imageSeen;
+    /** A machine as its owner last told. */
+    public record Machine(boolean up, boolean bad, Duration silentFor, Duration toldAt, String address) {}
+
+    /** A machine's state as its owner tells it, with a number that grows with every change. */
+    public record News(String host, long number, boolean up, boolean bad, Duration silentFor, String address, Set<String> images) {}
+
+    /** What this controller needs of the write rate. */
+    public record Need(double writes, boolean hungry) {}
+
+    private static final class Heard {
+        long incarnation;
+        long upTo;
+        final Map<String, Machine> machines = new HashMap<>();
+    }
+
+    public Peers(Settings settings, Caller http, Timeline timeline, LongSupplier incarnation, Supplier<Optional<String>> leader, BiConsumer<String, String> imageSeen) {
         this.settings = settings;
         this.http = http;
         this.timeline = timeline;
+        this.incarnation = incarnation;
+        this.leader = leader;
+        this.imageSeen = imageSeen;
     }
 
     /** A controller's last word while it is fresh. */
@@ -46,39 +74,132 @@
         return Optional.ofNullable(words.get(node)).filter(w -> timeline.now().minus(w.at).compareTo(FRESH) < 0);
     }
 
-    public Map<String, Word> all() {
-        return words;
+    /** All words that are fresh. */
+    public List<Word> fresh() {
+        var list = new ArrayList<Word>();
+        words.keySet().forEach(n -> word(n).ifPresent(list::add));
+        return list;
+    }
+
+    /** What a machine's owner told of it, while the owner's word is fresh. */
+    public Optional<Machine> machine(String owner, String host) {
+        Heard h = heard.get(owner);
+        return h == null || word(owner).isEmpty() ? Optional.empty() : Optional.ofNullable(h.machines.get(host));
     }
 
-    public void tell(Supplier<ObjectNode> own) {
-        byte[] body = Admin.write(own.get());
+    /** When a machine was last alive as far as any other controller told. */
+    public Optional<Duration> aliveAt(String host) {
+        Optional<Duration> last = Optional.empty();
+        for (Map.Entry<String, Heard> e : heard.entrySet()) {
+            Machine m = e.getValue().machines.get(host);
+            if (m != null) {
+                // One that is up is only told once; it stays alive as long as its owner keeps talking.
+                Duration at = m.up && words.containsKey(e.getKey()) ? words.get(e.getKey()).at : m.toldAt.minus(m.silentFor);
+                last = last.filter(l -> l.compareTo(at) >= 0).or(() -> Optional.of(at));
+            }
+        }
+        return last;
+    }
+
+    /** Whether a machine's owner calls it bad. */
+    public boolean bad(String owner, String host) {
+        return machine(owner, host).filter(Machine::bad).isPresent();
+    }
+
+    /** Machines that are gone for good. */
+    public void keepOnly(Set<String> hosts) {
+        heard.values().forEach(h -> h.machines.keySet().retainAll(hosts));
+    }
+
+    /** Whether anybody wants to hear about our machines. */
+    public boolean leaderListens() {
+        return leader.get().filter(l -> !l.equals(settings.nodeName())).isPresent();
+    }
+
+    /**
+     * Tells all others.
+     *
+     * @param news machines in the order of their numbers
+     */
+    public void tell(Duration viewAge, Need need, List<News> news) {
         for (Settings.Seed seed : settings.seeds()) {
-            http.send(seed.address(), "POST", "/peer/word", body, "application/json", TIMEOUT).whenComplete((a, e) -> {
+            ObjectNode n = head(viewAge, need);
+            if (leader.get().filter(seed.name()::equals).isPresent()) {
+                add(n, news, taken.getOrDefault(seed.name(), 0L));
+            }
+            http.send(seed.address(), "POST", "/peer/word", Admin.write(n), "application/json", TIMEOUT).whenComplete((a, e) -> {
                 if (a != null && a.status() == 200) {
-                    hear(a.body());
+                    answered(seed.name(), a.body());
                 }
             });
         }
     }
 
-    /** Takes a word in; unreadable ones count as none. */
-    public void hear(byte[] body) {
+    private ObjectNode head(Duration viewAge, Need need) {
+        return Pack.map().put("node", settings.nodeName()).put("inc", incarnation.getAsLong()).put("viewAgeMs", viewAge.toMillis()).put("writes", need.writes).put("hungry", need.hungry);
+    }
+
+    private static void add(ObjectNode n, List<News> news, long from) {
+        ArrayNode list = n.put("from", from).putArray("news");
+        long upTo = from;
+        for (News m : news) {
+            if (m.number > from && list.size() < MOST_AT_ONCE) {
+                upTo = m.number;
+                ArrayNode row = list.addArray().add(m.host).add(m.up).add(m.bad).add(m.silentFor.toMillis()).add(m.address);
+                m.images.forEach(row::add);
+            }
+        }
+        n.put("upTo", upTo);
+    }
+
+    /** Takes a word in and builds the answer to it; an unreadable one counts as none. */
+    public ObjectNode hear(byte[] body, Duration viewAge, Need need) {
+        ObjectNode answer = head(viewAge, need);
+        try {
+            JsonNode n = JSON.readTree(body);
+            if (n != null && n.path("node").isTextual()) {
+                String node = n.get("node").asText();
+                note(node, n);
+                Heard h = heard.computeIfAbsent(node, k -> new Heard());
+                if (h.incarnation != n.path("inc").asLong()) {
+                    h.incarnation = n.path("inc").asLong();
+                    h.upTo = 0;
+                    h.machines.clear();
+                }
+                // News that do not continue what is known here are left; the answer says where to go on.
+                if (n.has("news") && n.path("from").asLong() <= h.upTo) {
+                    n.get("news").forEach(row -> take(h, row));
+                    h.upTo = Math.max(h.upTo, n.path("upTo").asLong());
+                }
+                answer.put("took", h.upTo).put("tookOf", h.incarnation);
+            }
+        } catch (IOException e) {
+            // counts as no word
+        }
+        return answer;
+    }
+
+    private void take(Heard h, JsonNode row) {
+        String host = row.path(0).asText();
+        h.machines.put(host, new Machine(row.path(1).asBoolean(), row.path(2).asBoolean(), Duration.ofMillis(row.path(3).asLong()), timeline.now(), row.path(4).asText()));
+        for (int i = 5; i < row.size(); i++) {
+            imageSeen.accept(host, row.get(i).asText());
+        }
+    }
+
+    private void answered(String node, byte[] body) {
         try {
             JsonNode n = JSON.readTree(body);
-            if (n == null || !n.isObject()) {
-                return;
+            if (n != null && n.path("node").asText().equals(node)) {
+                note(node, n);
+                taken.put(node, n.path("tookOf").asLong() == incarnation.getAsLong() ? n.path("took").asLong() : 0L);
             }
-            Duration now = timeline.now();
-            var ready = new HashSet<String>();
-            n.path("ready").forEach(h -> ready.add(h.asText()));
-            n.path("images").fields().forEachRemaining(f -> f.getValue().forEach(i -> imageSeen.accept(f.getKey(), i.asText())));
-            var heard = new HashMap<String, Duration>();
-            n.path("heardMs").fields().forEachRemaining(f -> heard.put(f.getKey(), now.minus(Duration.ofMillis(f.getValue().asLong()))));
-            var bad = new HashSet<String>();
-            n.path("bad").forEach(h -> bad.add(h.asText()));
-            words.put(n.path("node").asText(), new Word(now, ready, heard, bad, Duration.ofMillis(n.path("viewAgeMs").asLong())));
         } catch (IOException e) {
             // counts as no word
         }
     }
+
+    private void note(String node, JsonNode n) {
+        words.put(node, new Word(timeline.now(), n.path("inc").asLong(), Duration.ofMillis(n.path("viewAgeMs").asLong()), n.path("writes").asDouble(), n.path("hungry").asBoolean()));
+    }
 }
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,18 +11,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.TreeMap;
 import org.dunespindle.bookkeeping.Claim;
 import org.dunespindle.bookkeeping.JobRecord;
+import org.dunespindle.protocol.PieceId;
 import org.dunespindle.protocol.Resources;
 import org.dunespindle.protocol.Settings;
 import org.dunespindle.protocol.Submission;
 
 /**
  * Decides, from a snapshot, which task goes where, which tasks give way and which machines are missing.
- * Pure: every controller works out the whole picture and carries out its own part, so that two owners seldom
- * reach for the same task.
+ * Pure. The leader's snapshot holds all machines and gangs; any other controller's holds its own machines.
  */
 public final class Planner {
     private Planner() {}
@@ -29,9 +30,15 @@
     /** A machine as the plan sees it. */
     public record Host(String id, String type, String zone, boolean spot, Resources size, boolean up, boolean mine, Set<String> images) {}
 
-    /** Everything a plan depends on. */
+    /**
+     * Everything a plan depends on.
+     *
+     * @param ended tasks whose end is reported but not stored yet: their room is free, their team's use is not
+     * @param leftAlone jobs that another controller is placing
+     * @param gangs whether gangs are planned here
+     */
     public record Snapshot(Instant now, List<JobRecord> jobs, List<Host> hosts, Map<String, Settings.Team> teams, Map<String, Place> whereabouts,
-            Set<Market> refused, int mostTasksPerJob, Set<String> impatient, List<JobRecord> phantoms, Map<String, List<Duration>> targets) {}
+            Set<Market> refused, int mostTasksPerJob, Set<PieceId> ended, Set<String> leftAlone, boolean gangs, List<JobRecord> phantoms, Map<String, List<Duration>> targets) {}
 
     /** Type, zone and kind, as the cloud rents them. */
     public record Market(String type, String zone, boolean spot) {}
@@ -48,8 +55,16 @@
     /** Room that no machine offers, not even a booting one. */
     public record Shortfall(JobRecord job, int tasks, Optional<String> zone) {}
 
-    /** The outcome; {@code reasons} tells why a job waits. */
-    public record Plan(List<Booking> bookings, List<Eviction> evictions, List<Shortfall> shortfalls, Map<String, String> reasons, Set<String> wantedHosts) {}
+    /**
+     * The outcome.
+     *
+     * @param reasons why a job waits
+     * @param wantedHosts machines that something is planned on
+     * @param gangHosts those of them that gangs are planned on
+     */
+    public record Plan(List<Booking> bookings, List<Eviction> evictions, List<Shortfall> shortfalls, Map<String, String> reasons, Set<String> wantedHosts, Set<String> gangHosts) {
+        public static final Plan NONE = new Plan(List.of(), List.of(), List.of(), Map.of(), Set.of(), Set.of());
+    }
 
     /** Works out a plan. */
     public static Plan plan(Snapshot s) {
@@ -88,46 +103,73 @@
         return n;
     }
 
+    /** A machine's room while the plan is made. */
+    private static final class Slot {
+        final Host host;
+        Resources free;
+        /** Room of tasks that are being stopped. */
+        Resources ending = Resources.NONE;
+        /** Promised to a gang before its room is free: nothing can be booked there yet. */
+        boolean later;
+        /** Tasks that may have to give way, the latest booked first: they have least to lose. */
+        final ArrayList<Victim> victims = new ArrayList<>(2);
+        double score;
+
+        Slot(Host host) {
+            this.host = host;
+            this.free = host.size();
+        }
+
+        boolean bookable() {
+            return host.up() && !later;
+        }
+    }
+
+    private record Victim(JobRecord job, Claim claim) {}
+
     private static final class Work {
         private static final int MOST_COUNTED = 64;
         private static final int FETCH_COST = 4;
         private static final Duration LOST_CAUSE = Duration.ofDays(1);
+        /** A gang that has waited so long for its team's limit is not overtaken by the team's later work any more. */
+        private static final Duration OVERTAKEN_AT_MOST = Duration.ofSeconds(20);
         private final Snapshot s;
-        private final Map<String, Host> hosts = new TreeMap<>();
-        private final Map<String, Resources> room = new HashMap<>();
+        private final List<Slot> slots = new ArrayList<>();
         private final Map<String, Resources> use;
-        private final Map<String, List<Victim>> victims = new HashMap<>();
         private final List<Booking> bookings = new ArrayList<>();
         private final List<Eviction> evictions = new ArrayList<>();
         private final List<Shortfall> shortfalls = new ArrayList<>();
         private final Map<String, String> reasons = new LinkedHashMap<>();
         private final Set<String> wanted = new HashSet<>();
+        private final Set<String> gangHosts = new HashSet<>();
         private final Set<String> guaranteed;
         /** What unplaced tasks would add to their team's use; bounds renting, but keeps no other job from being placed. */
         private final Map<String, Resources> pending = new HashMap<>();
-        /** Room of tasks that are being stopped, by machine. */
-        private final Map<String, Resources> ending = new HashMap<>();
-        /** Machines promised to a gang before their room is free: nothing can be booked there yet. */
-        private final Set<String> later = new HashSet<>();
-
-        private record Victim(JobRecord job, Claim claim) {}
+        /** What a team's waiting gang needs of the limit, kept free of later work. */
+        private final Map<String, Resources> reserved = new HashMap<>();
 
         Work(Snapshot s) {
             this.s = s;
             this.use = use(s.jobs());
             this.guaranteed = guaranteed(s.jobs(), s.teams());
+            var byId = new HashMap<String, Slot>(s.hosts().size() * 2);
             for (Host h : s.hosts()) {
-                hosts.put(h.id(), h);
-                room.put(h.id(), h.size());
+                var slot = new Slot(h);
+                slots.add(slot);
+                byId.put(h.id(), slot);
             }
             for (JobRecord j : s.jobs()) {
                 for (Claim c : j.claims()) {
-                    room.computeIfPresent(c.host(), (h, r) -> r.minus(j.job().perTask()));
+                    Slot slot = byId.get(c.host());
+                    if (slot == null || !s.ended().isEmpty() && s.ended().contains(new PieceId(j.id(), c.task()))) {
+                        continue;
+                    }
+                    Resources one = j.job().perTask();
+                    slot.free = slot.free.minus(one);
                     if (c.stopping() || !j.open() || j.mode() == JobRecord.Mode.STOP) {
-                        ending.merge(c.host(), j.job().perTask(), Resources::plus);
+                        slot.ending = slot.ending.plus(one);
                     } else if (!j.job().gang()) {
-                        // The latest booked first: they have least to lose.
-                        victims.computeIfAbsent(c.host(), h -> new ArrayList<>()).add(0, new Victim(j, c));
+                        slot.victims.add(0, new Victim(j, c));
                     }
                 }
             }
@@ -142,10 +184,18 @@
                     heads.merge(j.job().team(), j, (a, b) -> earlier(a, b) ? a : b);
                 }
             }
+            heads.forEach((team, head) -> {
+                boolean waited = Duration.between(head.arrived(), s.now()).compareTo(OVERTAKEN_AT_MOST) > 0;
+                if (waited && head.mode() == JobRecord.Mode.IDLE && !teamAllows(head.job(), head.job().tasks())) {
+                    reserved.put(team, head.job().wholeAsk());
+                }
+            });
             var ordered = new ArrayList<>(s.jobs());
-            ordered.removeIf(j -> !j.open() || j.unplacedCount() == 0);
+            ordered.removeIf(j -> !j.open() || j.unplacedCount() == 0 || s.leftAlone().contains(j.id()) || j.job().gang() && !s.gangs());
+            var urgency = new HashMap<String, Instant>();
+            ordered.forEach(j -> urgency.put(j.id(), urgency(j)));
             ordered.sort(Comparator.comparing((JobRecord j) -> j.job().priority(), Comparator.reverseOrder()).thenComparing(j -> !guaranteed.contains(j.id()))
-                    .thenComparing(this::urgency).thenComparing(JobRecord::id));
+                    .thenComparing(j -> urgency.get(j.id())).thenComparing(JobRecord::id));
             for (JobRecord j : ordered) {
                 if (j.notBefore().isPresent() && j.notBefore().get().isAfter(s.now())) {
                     reasons.put(j.id(), "its tasks fail or were refused; tried again at " + j.notBefore().get());
@@ -162,27 +212,7 @@
                 }
             }
             s.phantoms().forEach(this::spare);
-            return new Plan(bookings, evictions, shortfalls, reasons, wanted);
-        }
-
-        /** Keeps or asks for room for a job that has not come yet; it is wanted, but nothing is booked or evicted. */
-        private void spare(JobRecord phantom) {
-            var zones = new Zones(phantom);
-            var candidates = candidates(phantom.job());
-            int missing = 0;
-            for (int i = 0; i < phantom.job().tasks(); i++) {
-                Optional<Host> best = best(phantom.job(), candidates, zones, false);
-                if (best.isEmpty()) {
-                    missing++;
-                } else {
-                    room.merge(best.get().id(), phantom.job().perTask(), Resources::minus);
-                    wanted.add(best.get().id());
-                    zones.add(best.get().zone());
-                }
-            }
-            if (missing > 0) {
-                shortfalls.add(new Shortfall(phantom, missing, zones.only));
-            }
+            return new Plan(bookings, evictions, shortfalls, reasons, wanted, gangHosts);
         }
 
         /** A gang whose placeholders are being placed stays the head; otherwise arrival order decides. */
@@ -219,80 +249,119 @@
             return withinLimit(job, Resources.NONE, tasks);
         }
 
-        private boolean allowed(Submission job, Host h) {
-            return job.types().map(t -> t.contains(h.type())).orElse(true) && job.zone().map(h.zone()::equals).orElse(true) && (job.spot() || !h.spot());
-        }
-
-        private boolean rentable(Submission job, int tasks) {
-            return withinLimit(job, pending.getOrDefault(job.team(), Resources.NONE), tasks);
-        }
-
         private boolean withinLimit(Submission job, Resources besides, int tasks) {
             Settings.Team team = s.teams().get(job.team());
             return team != null && team.withinLimit(use.getOrDefault(job.team(), Resources.NONE).plus(besides).plus(job.perTask().times(tasks)));
         }
 
-        private boolean bookable(Host h) {
-            return h.up() && !later.contains(h.id());
+        /** How many more tasks the team's limit leaves room for. */
+        private int allowed(Submission job, Resources besides, int most) {
+            int low = 0;
+            int high = most;
+            while (low < high) {
+                int middle = (low + high + 1) >>> 1;
+                if (withinLimit(job, besides, middle)) {
+                    low = middle;
+                } else {
+                    high = middle - 1;
+                }
+            }
+            return low;
         }
 
-        private void take(Submission job, String host) {
-            room.merge(host, job.perTask(), Resources::minus);
+        private void take(Submission job, Slot slot) {
+            slot.free = slot.free.minus(job.perTask());
             use.merge(job.team(), job.perTask(), Resources::plus);
-            wanted.add(host);
+            wanted.add(slot.host.id());
+            if (job.gang()) {
+                gangHosts.add(slot.host.id());
+            }
+        }
+
+        /** Machines that the job may use, wherever its zone rules lead it. */
+        private List<Slot> candidates(Submission job) {
+            var list = new ArrayList<Slot>();
+            for (Slot slot : slots) {
+                Host h = slot.host;
+                if ((job.spot() || !h.spot()) && (job.zone().isEmpty() || job.zone().get().equals(h.zone())) && (job.types().isEmpty() || job.types().get().contains(h.type()))) {
+                    list.add(slot);
+                }
+            }
+            return list;
+        }
+
+        /** Of some machines those with room, the best first. */
+        private List<Slot> roomy(Submission job, Collection<Slot> candidates, Zones zones, boolean upOnly) {
+            var list = new ArrayList<Slot>();
+            for (Slot slot : candidates) {
+                if ((!upOnly || slot.host.up()) && job.perTask().fitsIn(slot.free) && zones.allows(slot.host)) {
+                    slot.score = score(job, slot);
+                    list.add(slot);
+                }
+            }
+            list.sort((a, b) -> Double.compare(b.score, a.score));
+            return list;
+        }
+
+        /** Up before booting, a fetched image before a cheap kind, cheap kinds before dear ones, full before empty. */
+        private static double score(Submission job, Slot slot) {
+            Host h = slot.host;
+            double fill = h.size().gpus() > 0 ? 1 - slot.free.gpus() / h.size().gpus() : 1 - slot.free.cpus() / Math.max(1e-9, h.size().cpus());
+            return (h.up() ? 8 : 0) + (h.spot() && job.spot() ? 2 : 0) + (h.images().contains(job.image()) ? 3 : 0) + fill;
         }
 
         private void array(JobRecord j) {
             Submission job = j.job();
-            int budget = Math.max(0, s.mostTasksPerJob() - j.claims().size() - j.again().size());
+            Resources kept = reserved.getOrDefault(job.team(), Resources.NONE);
+            int unplaced = j.unplacedCount();
+            int most = Math.min(unplaced, Math.max(0, s.mostTasksPerJob() - j.claims().size()));
+            int allowed = allowed(job, kept, most);
+            if (allowed < unplaced) {
+                reasons.put(j.id(), allowed == most ? "as many of its tasks are under way as its record takes" : "its team's limit is used up");
+            }
             var places = new LinkedHashMap<Integer, String>();
-            int waiting = 0;
             var zones = new Zones(j);
-            var candidates = candidates(job);
-            boolean ownOnly = s.impatient().contains(j.id());
-            int fresh = 0;
-            for (int task : j.unplaced(s.mostTasksPerJob())) {
-                if (!teamAllows(job, 1)) {
-                    reasons.put(j.id(), "its team's limit is used up");
-                    break;
-                }
-                if (task >= j.next() && fresh++ >= budget) {
-                    break;
-                }
-                Optional<Host> best = best(job, candidates, zones, ownOnly);
-                if (best.isEmpty()) {
-                    if (!rentable(job, 1)) {
-                        break;
+            var order = j.unplaced(allowed).iterator();
+            int left = allowed;
+            for (Slot slot : roomy(job, candidates(job), zones, false)) {
+                while (left > 0 && job.perTask().fitsIn(slot.free) && zones.allows(slot.host)) {
+                    int task = order.nextInt();
+                    left--;
+                    take(job, slot);
+                    zones.add(slot.host.zone());
+                    if (slot.bookable()) {
+                        places.put(task, slot.host.id());
+                    } else {
+                        reasons.putIfAbsent(j.id(), "waits for machines that are booting");
                     }
-                    waiting++;
-                    pending.merge(job.team(), job.perTask(), Resources::plus);
-                    continue;
-                }
-                take(job, best.get().id());
-                zones.add(best.get().zone());
-                if (bookable(best.get())) {
-                    places.put(task, best.get().id());
-                } else {
-                    reasons.putIfAbsent(j.id(), "waits for machines that are booting");
                 }
             }
             if (!places.isEmpty()) {
                 bookings.add(new Booking(j, places));
             }
+            int waiting = Math.min(left, allowed(job, kept.plus(pending.getOrDefault(job.team(), Resources.NONE)), left));
             if (waiting > 0) {
+                pending.merge(job.team(), job.perTask().times(waiting), Resources::plus);
                 reasons.putIfAbsent(j.id(), "no room on machines it may use");
                 shortfalls.add(new Shortfall(j, waiting, zones.only));
             }
         }
 
-        private List<Host> candidates(Submission job) {
-            var list = new ArrayList<Host>();
-            for (Host h : hosts.values()) {
-                if (allowed(job, h)) {
-                    list.add(h);
+        /** Keeps or asks for room for a job that has not come yet; it is wanted, but nothing is booked or evicted. */
+        private void spare(JobRecord phantom) {
+            var zones = new Zones(phantom);
+            int missing = phantom.job().tasks();
+            for (Slot slot : roomy(phantom.job(), candidates(phantom.job()), zones, false)) {
+                while (missing > 0 && phantom.job().perTask().fitsIn(slot.free) && zones.allows(slot.host)) {
+                    slot.free = slot.free.minus(phantom.job().perTask());
+                    wanted.add(slot.host.id());
+                    zones.add(slot.host.zone());
+                    missing--;
                 }
             }
-            return list;
+            if (missing > 0) {
+                shortfalls.add(new Shortfall(phantom, missing, zones.only));
+            }
         }
 
         /** Where a job's tasks may still go, given where they are: one zone for all, or at most half in each. */
@@ -313,45 +382,22 @@
                 }
                 only = job.zone();
                 if (job.sameZone() && only.isEmpty()) {
-                    only = taken.isEmpty() ? zoneFor(j, Math.min(MOST_COUNTED, j.unplacedCount())) : taken.keySet().stream().findFirst();
+                    only = taken.isEmpty() ? zoneFor(j, j.unplacedCount()) : taken.keySet().stream().findFirst();
                 }
             }
 
             boolean allows(Host h) {
-                return only.map(h.zone()::equals).orElse(true) && taken.getOrDefault(h.zone(), 0) < most;
+                return (only.isEmpty() || only.get().equals(h.zone())) && (most == Integer.MAX_VALUE || taken.getOrDefault(h.zone(), 0) < most);
             }
 
             void add(String zone) {
                 taken.merge(zone, 1, Integer::sum);
-                if (job.sameZone()) {
+                if (job.sameZone() && only.isEmpty()) {
                     only = Optional.of(zone);
                 }
             }
         }
 
-        private Optional<Host> best(Submission job, List<Host> candidates, Zones zones, boolean ownOnly) {
-            Host best = null;
-            double bestScore = 0;
-            for (Host h : candidates) {
-                if (!zones.allows(h) || !job.perTask().fitsIn(room.get(h.id())) || (ownOnly && !h.mine() && h.up())) {
-                    continue;
-                }
-                double score = score(job, h);
-                if (best == null || score > bestScore) {
-                    best = h;
-                    bestScore = score;
-                }
-            }
-            return Optional.ofNullable(best);
-        }
-
-        /** Up before booting, a fetched image before a cheap kind, cheap kinds before dear ones, full before empty. */
-        private double score(Submission job, Host h) {
-            Resources free = room.get(h.id());
-            double fill = h.size().gpus() > 0 ? 1 - free.gpus() / h.size().gpus() : 1 - free.cpus() / Math.max(1e-9, h.size().cpus());
-            return (h.up() ? 8 : 0) + (h.spot() && job.spot() ? 2 : 0) + (h.images().contains(job.image()) ? 3 : 0) + fill;
-        }
-
         private void gang(JobRecord j) {
             Submission job = j.job();
             int missing = j.unplacedCount();
@@ -360,64 +406,82 @@
                 return;
             }
             var zones = new Zones(j);
-            var places = new LinkedHashMap<Integer, String>();
-            int unplaced = 0;
             var candidates = candidates(job);
-            var up = candidates.stream().filter(Host::up).toList();
-            for (int task : j.unplaced(job.tasks())) {
-                // Lower work gives way before the gang waits for a machine to boot; that machine then takes the lower work.
-                Optional<Host> best = best(job, up, zones, false);
-                boolean evicting = false;
-                if (best.isEmpty()) {
-                    best = evict(j, up.stream().filter(zones::allows).toList());
-                    evicting = best.isPresent();
-                }
-                if (best.isEmpty()) {
-                    best = best(job, candidates, zones, false);
-                }
-                if (best.isEmpty()) {
-                    unplaced++;
-                    continue;
-                }
-                Host h = best.get();
-                take(job, h.id());
-                zones.add(h.zone());
-                if (evicting) {
-                    reasons.putIfAbsent(j.id(), "waits for lower work to give way on " + h.id());
-                } else if (bookable(h)) {
-                    places.put(task, h.id());
-                } else {
-                    reasons.putIfAbsent(j.id(), "waits for machines that are booting");
-                }
+            var places = new LinkedHashMap<Integer, String>();
+            var order = j.unplaced(missing).iterator();
+            int left = fill(j, roomy(job, candidates, zones, true), zones, order, missing, places);
+            // Lower work gives way before the gang waits for a machine to boot; that machine then takes the lower work.
+            if (left > 0) {
+                left = evict(j, candidates, zones, left);
             }
-            if (unplaced > 0) {
-                reasons.put(j.id(), "no room for " + unplaced + " of " + job.tasks() + " members" + zones.only.map(z -> " in zone " + z).orElse(""));
-                shortfalls.add(new Shortfall(j, unplaced, zones.only));
-                pending.merge(job.team(), job.perTask().times(unplaced), Resources::plus);
+            if (left > 0) {
+                left = fill(j, roomy(job, candidates, zones, false), zones, order, left, places);
+            }
+            if (left > 0) {
+                reasons.put(j.id(), "no room for " + left + " of " + job.tasks() + " members" + zones.only.map(z -> " in zone " + z).orElse(""));
+                shortfalls.add(new Shortfall(j, left, zones.only));
+                pending.merge(job.team(), job.perTask().times(left), Resources::plus);
             }
             if (!places.isEmpty()) {
                 bookings.add(new Booking(j, places));
             }
         }
 
-        /** The zone with most room for the gang now, then with most soon, then one that still rents. */
+        private int fill(JobRecord j, List<Slot> roomy, Zones zones, java.util.Iterator<Integer> order, int members, Map<Integer, String> places) {
+            Submission job = j.job();
+            int left = members;
+            for (Slot slot : roomy) {
+                while (left > 0 && job.perTask().fitsIn(slot.free) && zones.allows(slot.host)) {
+                    take(job, slot);
+                    zones.add(slot.host.zone());
+                    left--;
+                    if (slot.bookable()) {
+                        places.put(order.next(), slot.host.id());
+                    } else {
+                        reasons.putIfAbsent(j.id(), "waits for machines that are booting");
+                    }
+                }
+            }
+            return left;
+        }
+
+        /** The zone that serves most of the gang now, then by lower work giving way, then soon. */
         private Optional<String> zoneFor(JobRecord j, int missing) {
             Submission job = j.job();
-            var scores = new TreeMap<String, Double>();
-            for (Host h : candidates(job)) {
-                int fits = fitCount(job.perTask(), room.get(h.id()), missing);
-                int emptied = fitCount(job.perTask(), withVictims(h, j), missing);
-                scores.merge(h.zone(), (h.up() ? 3.0 : 1.5) * fits + Math.max(0, emptied - fits) + (h.images().contains(job.image()) ? 0.2 * fits : 0), Double::sum);
+            var rooms = new HashMap<String, int[]>();
+            for (Slot slot : candidates(job)) {
+                int fits = fitCount(job.perTask(), slot.free, Math.min(MOST_COUNTED, missing));
+                int[] room = rooms.computeIfAbsent(slot.host.zone(), z -> new int[4]);
+                if (!slot.host.up()) {
+                    room[2] += fits;
+                    continue;
+                }
+                room[0] += fits;
+                room[1] += fitCount(job.perTask(), withVictims(slot, j), Math.min(MOST_COUNTED, missing)) - fits;
+                room[3] += slot.host.images().contains(job.image()) ? fits : 0;
             }
-            for (Market m : s.refused()) {
-                scores.computeIfPresent(m.zone(), (z, v) -> v - 0.5);
+            String best = null;
+            double bestScore = 0;
+            for (Map.Entry<String, int[]> e : new java.util.TreeMap<>(rooms).entrySet()) {
+                int[] room = e.getValue();
+                int now = Math.min(missing, room[0]);
+                int freed = Math.min(missing - now, room[1]);
+                int soon = Math.min(missing - now - freed, room[2]);
+                double score = 3 * now + 2 * freed + soon + 0.2 * Math.min(missing, room[3]);
+                for (Market m : s.refused()) {
+                    score -= m.zone().equals(e.getKey()) && !m.spot() ? 0.5 * (missing - now - freed - soon) + 0.1 : 0;
+                }
+                if (score > bestScore) {
+                    best = e.getKey();
+                    bestScore = score;
+                }
             }
-            return scores.entrySet().stream().filter(e -> e.getValue() > 0).max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
+            return Optional.ofNullable(best);
         }
 
-        private Resources withVictims(Host h, JobRecord j) {
-            Resources r = room.get(h.id());
-            for (Victim v : victims.getOrDefault(h.id(), List.of())) {
+        private static Resources withVictims(Slot slot, JobRecord j) {
+            Resources r = slot.free.plus(slot.ending);
+            for (Victim v : slot.victims) {
                 if (mayEvict(j, v)) {
                     r = r.plus(v.job().job().perTask());
                 }
@@ -429,46 +493,63 @@
          * Priority decides both who gives way and who is planned first: were that not the same order, lower work would
          * take the freed room back at once, and the job would evict again and again.
          */
-        private boolean mayEvict(JobRecord j, Victim v) {
+        private static boolean mayEvict(JobRecord j, Victim v) {
             return v.job().job().priority().compareTo(j.job().priority()) < 0;
         }
 
-        /** The machine where the fewest lower tasks have to give way; a fetch counts as some more of them. */
-        private Optional<Host> evict(JobRecord j, List<Host> open) {
-            Host best = null;
-            List<Victim> bestVictims = List.of();
-            int bestCost = 0;
-            for (Host h : open) {
-                Resources free = room.get(h.id()).plus(ending.getOrDefault(h.id(), Resources.NONE));
-                var chosen = new ArrayList<Victim>();
-                for (Victim v : victims.getOrDefault(h.id(), List.of())) {
-                    if (!j.job().perTask().fitsIn(free) && mayEvict(j, v)) {
-                        chosen.add(v);
-                        free = free.plus(v.job().job().perTask());
-                    }
+        private record Way(Slot slot, List<Victim> victims, int cost) {}
+
+        /** How one member finds room on a machine; empty if no lower work there makes any. */
+        private static Optional<Way> way(JobRecord j, Slot slot) {
+            Resources one = j.job().perTask();
+            Resources free = slot.free.plus(slot.ending);
+            var chosen = new ArrayList<Victim>(2);
+            for (Victim v : slot.victims) {
+                if (one.fitsIn(free)) {
+                    break;
                 }
-                // Tasks already being stopped cost nothing more; a second machine must not be emptied beside them.
-                int cost = chosen.isEmpty() ? -1 : chosen.size() + (h.images().contains(j.job().image()) ? 0 : FETCH_COST);
-                if (j.job().perTask().fitsIn(free) && (best == null || cost < bestCost)) {
-                    bestCost = cost;
-                    best = h;
-                    bestVictims = chosen;
+                if (mayEvict(j, v)) {
+                    chosen.add(v);
+                    free = free.plus(v.job().job().perTask());
                 }
             }
-            if (best == null) {
+            if (!one.fitsIn(free)) {
                 return Optional.empty();
             }
-            Resources freed = ending.remove(best.id());
-            if (freed != null) {
-                room.merge(best.id(), freed, Resources::plus);
+            // Tasks already being stopped cost nothing more; a second machine must not be emptied beside them.
+            int cost = chosen.isEmpty() ? -1 : chosen.size() + (slot.host.images().contains(j.job().image()) ? 0 : FETCH_COST);
+            return Optional.of(new Way(slot, chosen, cost));
+        }
+
+        /** Makes room where the fewest lower tasks have to give way; a fetch counts as some more of them. */
+        private int evict(JobRecord j, List<Slot> candidates, Zones zones, int members) {
+            var ways = new PriorityQueue<Way>(Comparator.comparingInt(Way::cost).thenComparing(w -> w.slot.host.id()));
+            for (Slot slot : candidates) {
+                if (slot.host.up() && zones.allows(slot.host)) {
+                    way(j, slot).ifPresent(ways::add);
+                }
             }
-            later.add(best.id());
-            for (Victim v : bestVictims) {
-                evictions.add(new Eviction(v.job(), v.claim(), j.id()));
-                victims.get(best.id()).remove(v);
-                room.merge(best.id(), v.job().job().perTask(), Resources::plus);
+            int left = members;
+            while (left > 0 && !ways.isEmpty()) {
+                Way w = ways.poll();
+                if (!zones.allows(w.slot.host)) {
+                    continue;
+                }
+                w.slot.later = true;
+                w.slot.free = w.slot.free.plus(w.slot.ending);
+                w.slot.ending = Resources.NONE;
+                for (Victim v : w.victims) {
+                    evictions.add(new Eviction(v.job(), v.claim(), j.id()));
+                    w.slot.victims.remove(v);
+                    w.slot.free = w.slot.free.plus(v.job().job().perTask());
+                }
+                take(j.job(), w.slot);
+                zones.add(w.slot.host.zone());
+                left--;
+                reasons.putIfAbsent(j.id(), "waits for lower work to give way on " + w.slot.host.id());
+                way(j, w.slot).ifPresent(ways::add);
             }
-            return Optional.of(best);
+            return left;
         }
     }
 }
--- a/src/main/java/org/dunespindle/coordination/Sessions.java
+++ b/src/main/java/org/dunespindle/coordination/Sessions.java
@@ -2,13 +2,16 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.dunespindle.protocol.Order;
 import org.dunespindle.protocol.WorkerReport;
 
-/** What this process has heard of each worker. Lost with the process; nothing in it is needed for safety. */
+/** What this process knows of each worker. It is gone with the process; nothing in it is needed for safety. */
 public final class Sessions {
     private final Map<String, Session> byHost = new HashMap<>();
 
@@ -16,29 +19,62 @@
     public static final class Session {
         private static final int REMEMBERED_IMAGES = 12;
         Optional<WorkerReport> report = Optional.empty();
+        /** When the worker last gave a sign of life that cannot be an old copy. */
         Optional<Duration> heardAt = Optional.empty();
         /** A direct command is under way; nothing is concluded until its answer is in. */
         boolean calling;
         /** A {@code run} went unanswered under this token and may still land; empty once fenced off. */
         Optional<Long> unansweredUnder = Optional.empty();
+        Duration unansweredAt = Duration.ZERO;
+        /** Since when no command is known to arrive: reports alone prove a machine alive, not that it can be commanded. */
+        Optional<Duration> unprovenSince = Optional.empty();
         Duration callAgainAt = Duration.ZERO;
         Duration strayAt = Duration.ZERO;
         long strayStamp = -1;
         int strays;
+        boolean verifying;
+        /** When this worker was last sent away because this controller was cut off. */
+        Optional<Duration> turnedAwayAt = Optional.empty();
         int errorsInARow;
         String lastErrorJob = "";
-        Duration idleSince = Duration.ZERO;
+        /** What became of claims here, not stored yet; since when. */
+        List<Reconciler.Event> events = List.of();
+        Duration eventsSince = Duration.ZERO;
         final LinkedHashMap<String, Boolean> images = new LinkedHashMap<>();
+        /** Starts sent under {@link #startsToken} in {@link #startsSession}: late copies of them are void only under a higher one. */
+        final Set<Order.Run> starts = new HashSet<>();
+        long startsToken;
+        long startsSession;
+        /** For the word to the leader: what was told last, and its number. */
+        String told = "";
+        long toldAs;
 
         /** Takes a report unless a newer one is known; late copies change nothing. */
-        boolean accept(WorkerReport r) {
-            if (report.isPresent() && !r.newerThan(report.get())) {
-                return false;
+        boolean accept(WorkerReport r, Duration now) {
+            if (report.isPresent()) {
+                if (!r.newerThan(report.get())) {
+                    return false;
+                }
+                if (r.session() > report.get().session()) {
+                    // Its lease ran out although it is up: it may be that our answers do not arrive.
+                    unprovenSince = Optional.of(unprovenSince.orElse(now));
+                }
+                heardAt = Optional.of(now);
             }
+            // The first report of all may be an old copy: it is where counting starts, but proves no life.
             report = Optional.of(r);
             return true;
         }
 
+        void answered(Duration now) {
+            heardAt = Optional.of(now);
+            unprovenSince = Optional.empty();
+        }
+
+        void unanswered(Duration now) {
+            unprovenSince = Optional.of(unprovenSince.orElse(now));
+        }
+
         void fetched(String image) {
             images.remove(image);
             images.put(image, true); // now the latest
@@ -55,6 +91,25 @@
         boolean proves(long token) {
             return !calling && unansweredUnder.isEmpty() && report.isPresent() && report.get().token() == token;
         }
+
+        /** Notes starts about to be sent. */
+        void starting(long token, long session, List<Order> orders) {
+            if (token != startsToken || session != startsSession) {
+                starts.clear();
+                startsToken = token;
+                startsSession = session;
+            }
+            orders.forEach(o -> {
+                if (o instanceof Order.Run run) {
+                    starts.add(run);
+                }
+            });
+        }
+
+        /** Whether a late copy of this attempt's start could still be carried out: then the worker must not forget it. */
+        boolean mayStartAgain(Order.Forget f, long token) {
+            return token == startsToken && starts.contains(new Order.Run(f.task(), f.attempt()));
+        }
     }
 
     public Session of(String host) {
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/WriteShare.java
@@ -0,0 +1,68 @@
+package org.dunespindle.coordination;
+
+import java.time.Duration;
+import org.dunespindle.bookkeeping.StateClient;
+import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.protocol.Settings;
+
+/**
+ * Divides the state service's write rate among the controllers by need, as they tell one another: the leader writes
+ * most, and an equal part each would leave it short while the others' lie idle. Only a matter of pace: what
+ * is written too fast is refused and sent again.
+ */
+final class WriteShare {
+    /** Controllers hear of one another's need late, so some of the rate is left unused. */
+    private static final double SAFE_PART = 0.92;
+    private static final double LEAST_PART = 0.08;
+    private static final double AHEAD = 1.5;
+    private final Settings settings;
+    private final Peers peers;
+    private final Membership membership;
+    private final Committer committer;
+    private final StateClient state;
+    private final Timeline timeline;
+    private long writtenBefore;
+    private Duration at = Duration.ZERO;
+    private double rate;
+
+    WriteShare(Settings settings, Peers peers, Membership membership, Committer committer, StateClient state, Timeline timeline) {
+        this.settings = settings;
+        this.peers = peers;
+        this.membership = membership;
+        this.committer = committer;
+        this.state = state;
+        this.timeline = timeline;
+    }
+
+    Peers.Need need() {
+        return new Peers.Need(rate, committer.waiting() > 0);
+    }
+
+    /** Called about once a second. */
+    void adjust() {
+        Duration now = timeline.now();
+        double seconds = now.minus(at).toNanos() / 1e9;
+        if (seconds > 0.1) {
+            rate = 0.5 * rate + 0.5 * (committer.written() - writtenBefore) / seconds;
+            writtenBefore = committer.written();
+            at = now;
+        }
+        double all = SAFE_PART * settings.state().writeRps();
+        double least = all * LEAST_PART;
+        double left = all;
+        int hungry = 1;
+        for (Settings.Seed seed : settings.seeds()) {
+            var word = peers.word(seed.name());
+            if (word.isPresent() && word.get().hungry()) {
+                hungry++;
+            } else if (word.isPresent()) {
+                left -= Math.max(least, AHEAD * word.get().writes());
+            } else if (membership.incarnationOf(seed.name()).isPresent()) {
+                left -= all / (settings.seeds().size() + 1); // alive but not heard: it takes its equal part
+            } else {
+                left -= least;
+            }
+        }
+        state.writes().rate(Math.max(least, left / hungry));
+    }
+}
--- a/src/main/java/org/dunespindle/protocol/WorkerReport.java
+++ b/src/main/java/org/dunespindle/protocol/WorkerReport.java
@@ -14,6 +14,11 @@
         return session != other.session ? session > other.session : tick > other.tick;
     }
 
+    /** Whether it says the same as another but for its number: most reports only say that the machine lives. */
+    public boolean sameAs(WorkerReport other) {
+        return session == other.session && token == other.token && notice.isPresent() == other.notice.isPresent() && address.equals(other.address) && tasks.equals(other.tasks);
+    }
+
     public Optional<TaskStatus> find(PieceId task, long attempt) {
         for (TaskStatus t : tasks) {
             if (t.attempt() == attempt && t.task().equals(task)) {
--- /dev/null
+++ b/src/test/java/org/dunespindle/sim/TroubleTest.java
@@ -0,0 +1,190 @@
+package org.dunespindle.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.protocol.Submission;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What is checked at a day's end, each trouble by itself, with whole controllers in virtual time. */
+class TroubleTest {
+    private static void assertServed(World world, List<String> ids) {
+        assertEquals(List.of(), world.broken);
+        for (String id : ids) {
+            assertEquals("done", world.lastTold(id), id);
+        }
+    }
+
+    private static String hosts(World world) {
+        return world.admin(0, "GET", "/v1/hosts", "").join().body().path("hosts").toString();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {71, 72, 73})
+    void aMachineThatTakesNoCommandsIsClosedReturnedAndReplaced(long seed) {
+        var world = new World(seed);
+        List<String> ids = WorldTest.submitMix(world, 14);
+        world.sim.run(Duration.ofSeconds(9));
+        WorkerStandIn deaf = world.worker((int) seed % 3);
+        deaf.oneWay(true);
+        world.sim.run(Duration.ofSeconds(60));
+        assertTrue(deaf.dead(), "its reports alone kept it");
+        world.sim.run(Duration.ofSeconds(300));
+        assertServed(world, ids);
+    }
+
+    @Test
+    void nothingIsBookedOnAMachineThatOnlyReports() {
+        var world = new World(74);
+        world.submit(WorldTest.job("wk-000001", "red", Shape.SERVICE, 2, false, false));
+        world.sim.run(Duration.ofSeconds(20));
+        WorkerStandIn deaf = world.worker(0);
+        deaf.oneWay(true);
+        world.sim.run(Duration.ofSeconds(33)); // its lease is over by now and its tasks are gone, but its reports go on
+        world.submit(WorldTest.job("wk-000002", "blue", Shape.ARRAY, 6, false, false));
+        world.sim.run(Duration.ofSeconds(36));
+        assertTrue(world.admin(0, "GET", "/v1/jobs/wk-000002", "").join().body().path("places").findValuesAsText("host").stream().noneMatch(deaf.id()::equals));
+        world.sim.run(Duration.ofSeconds(120));
+        assertServed(world, List.of("wk-000002"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {81, 82, 83, 84})
+    void lateCopiesOfReportsProveNothing(long seed) {
+        var world = new World(seed);
+        world.lateCopies = 2;
+        List<String> ids = WorldTest.submitMix(world, 12);
+        for (int n = 0; n < 3; n++) {
+            int node = n;
+            world.sim.after(12_000L + 4000L * n, () -> world.crash(node, Duration.ofMillis(300)));
+        }
+        world.sim.after(20_000, () -> world.die(world.worker((int) seed % 5)));
+        world.sim.run(Duration.ofSeconds(300));
+        assertServed(world, ids);
+        assertEquals(List.of(), world.alive().stream().map(WorkerStandIn::id).toList());
+        assertEquals("[]", hosts(world), "copies of reports rebuilt machines that were returned");
+    }
+
+    @Test
+    void copiesDoNotKeepADeadMachine() {
+        var world = new World(85);
+        world.lateCopies = 3;
+        world.latestCopy = Duration.ofSeconds(40);
+        world.submit(WorldTest.job("wk-000001", "red", Shape.SERVICE, 1, false, false));
+        world.sim.run(Duration.ofSeconds(40));
+        WorkerStandIn lost = world.alive().stream().filter(w -> w.tasks().iterator().hasNext()).findFirst().orElseThrow();
+        world.die(lost);
+        world.sim.run(Duration.ofSeconds(75));
+        assertTrue(world.alive().stream().anyMatch(w -> w.tasks().iterator().hasNext()), "the task runs elsewhere while copies of its machine's reports still come");
+        assertEquals(List.of(), world.broken);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void workersLeaveAControllerThatReachesNobodyElse(int node) {
+        var world = new World(91 + node);
+        for (int i = 0; i < 6; i++) {
+            world.submit(WorldTest.job("wk-%06d".formatted(i), i < 3 ? "red" : "blue", Shape.SERVICE, 1 + i % 2, false, false));
+        }
+        world.sim.run(Duration.ofSeconds(30));
+        List<WorkerStandIn> all = world.alive();
+        world.sim.after(100, () -> world.isolatedNode = node);
+        world.sim.run(Duration.ofSeconds(75));
+        world.isolatedNode = -1;
+        world.sim.run(Duration.ofSeconds(100));
+        assertEquals(List.of(), world.broken);
+        assertEquals(List.of(), all.stream().filter(w -> w.session() > 1).map(WorkerStandIn::id).toList(), "leases that ran out");
+    }
+
+    @Test
+    void inAnOutageThatAllShareWorkersAreAnswered() {
+        var world = new World(95);
+        world.submit(WorldTest.job("wk-000001", "red", Shape.SERVICE, 8, false, false));
+        world.sim.run(Duration.ofSeconds(30));
+        List<WorkerStandIn> all = world.alive();
+        world.state.out = true;
+        world.sim.run(Duration.ofSeconds(48));
+        world.state.recover();
+        world.sim.run(Duration.ofSeconds(70));
+        assertEquals(List.of(), all.stream().filter(w -> w.session() > 1).map(WorkerStandIn::id).toList(), "leases that ran out");
+        assertEquals(List.of(), world.broken);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {101, 102, 103, 104})
+    void controllersBackAtOnceInMidElection(long seed) {
+        var world = new World(seed);
+        List<String> ids = WorldTest.submitMix(world, 12);
+        for (int k = 0; k < 6; k++) {
+            world.sim.after(6000L + k * 5200L, () -> {
+                int leader = Math.max(0, world.leader());
+                world.crash(leader, Duration.ofMillis(50 + world.sim.random.nextInt(400)));
+                // The next one goes while the election and the take-over are under way.
+                world.sim.after(300 + world.sim.random.nextInt(4500), () -> world.crash((leader + 1) % 3, Duration.ofMillis(100)));
+            });
+        }
+        world.sim.run(Duration.ofSeconds(300));
+        assertServed(world, ids);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {111, 112})
+    void everyControllerKnowsEveryJobAfterTroubles(long seed) {
+        var world = new World(seed);
+        world.loss = 0.03;
+        List<String> ids = WorldTest.submitMix(world, 12);
+        world.sim.after(8000, () -> world.isolatedNode = (int) seed % 3);
+        world.sim.after(22_000, () -> world.isolatedNode = -1);
+        world.sim.after(15_000, () -> world.crash((int) (seed + 1) % 3, Duration.ofMillis(200)));
+        world.sim.after(30_000, () -> world.state.out = true);
+        world.sim.after(44_000, world.state::recover);
+        world.sim.after(44_100, () -> world.loss = 0);
+        world.sim.run(Duration.ofSeconds(119)); // 75 s after the last trouble
+        for (int node = 0; node < 3; node++) {
+            for (String id : ids) {
+                assertEquals(200, world.poll(node, id).join().status(), id + " at controller " + node);
+            }
+        }
+        world.sim.run(Duration.ofSeconds(400));
+        assertServed(world, ids);
+    }
+
+    @Test
+    void aJobOnMoreMachinesThanATransactionGuardsIsRecorded() {
+        // Names far apart: every machine has a record of its own, and there are more of them than one transaction may guard.
+        var world = new World(121, 90, 10);
+        world.submit(new Submission("wk-000001", "class", "red", Shape.ARRAY, Priority.LOW, 80, new Resources(4, 0, 1), Optional.empty(), Optional.empty(), false, false, false, "image", 2,
+                Duration.ofSeconds(5), Duration.ZERO, Duration.ZERO, Optional.empty()));
+        world.submit(new Submission("wk-000002", "class", "blue", Shape.GANG, Priority.URGENT, 70, new Resources(4, 0, 1), Optional.empty(), Optional.empty(), false, false, false, "image", 2,
+                Duration.ofSeconds(5), Duration.ZERO, Duration.ZERO, Optional.empty()));
+        world.sim.run(Duration.ofSeconds(300));
+        assertServed(world, List.of("wk-000001", "wk-000002"));
+    }
+
+    /** Small jobs keep coming, from the gang's own team and from another one that borrows beyond its guarantee. */
+    @ParameterizedTest
+    @ValueSource(strings = {"URGENT", "NORMAL"})
+    void aLargeGangBeginsWithinFourMinutes(String priority) {
+        var world = new World(131);
+        for (int i = 0; i < 300; i++) {
+            Submission small = new Submission("wk-%06d".formatted(i + 10), "small", i % 3 == 0 ? "red" : "blue", Shape.ARRAY, Priority.NORMAL, 2, new Resources(1, 1, 1), Optional.empty(), Optional.empty(),
+                    false, false, false, "image-1", 2, Duration.ofSeconds(5), Duration.ZERO, Duration.ZERO, Optional.empty());
+            world.sim.after(1000L + i * 900L, () -> world.submit(small));
+        }
+        Submission large = new Submission("wk-000001", "large", "red", Shape.GANG, Priority.valueOf(priority), 9, new Resources(1, 1, 1), Optional.empty(), Optional.empty(), true, false, false,
+                "image-2", 2, Duration.ofSeconds(5), Duration.ZERO, Duration.ZERO, Optional.empty());
+        world.sim.after(30_000, () -> world.submit(large));
+        world.sim.run(Duration.ofSeconds(270));
+        assertEquals(List.of(), world.broken);
+        assertTrue(List.of("running", "done").contains(world.lastTold("wk-000001")), world.admin(0, "GET", "/v1/jobs/wk-000001", "").join().body().toString());
+    }
+}
--- a/src/test/java/org/dunespindle/sim/WorkerStandIn.java
+++ b/src/test/java/org/dunespindle/sim/WorkerStandIn.java
@@ -24,6 +24,8 @@
     private int node;
     boolean dead;
     boolean cut;
+    /** Its reports arrive; answers and commands do not. */
+    boolean oneWay;
 
     final class Task {
         final PieceId piece;
@@ -68,6 +70,23 @@
         return tasks.values();
     }
 
+    public void oneWay(boolean yes) {
+        oneWay = yes;
+    }
+
+    public boolean dead() {
+        return dead;
+    }
+
+    public String id() {
+        return id;
+    }
+
+    /** How often its lease has run out, plus one. */
+    public long session() {
+        return session;
+    }
+
     String address() {
         return "worker:" + id.substring(2);
     }
