--- a/src/main/java/org/dunespindle/bookkeeping/RateBudget.java
+++ b/src/main/java/org/dunespindle/bookkeeping/RateBudget.java
@@ -30,6 +30,10 @@
         return Math.max(perSecond, 1);
     }
 
+    public double perSecond() {
+        return perSecond;
+    }
+
     /** Changes the rate from now on, as the others' need for their shares changes. */
     public void rate(double newPerSecond) {
         refill();
@@ -40,7 +44,18 @@
     /** What may be spent now; negative while a dear piece of work is being paid off. */
     public double available() {
         refill();
-        return urgent.isEmpty() && normal.isEmpty() ? tokens : 0;
+        return urgent.isEmpty() && normal.isEmpty() ? tokens : Math.min(tokens, 0);
+    }
+
+    /** Whether this much cannot be spent yet; what costs more than a second's worth needs a full budget. */
+    public boolean lacks(double cost) {
+        return Math.min(cost, burst()) > available() + 1e-9;
+    }
+
+    /** Pays for work that is done at once, if need be later. */
+    public void charge(double cost) {
+        refill();
+        tokens -= cost;
     }
 
     /** How long until this much is available, at least a millisecond. */
--- a/src/main/java/org/dunespindle/bookkeeping/StateClient.java
+++ b/src/main/java/org/dunespindle/bookkeeping/StateClient.java
@@ -73,10 +73,11 @@
         });
     }
 
-    /** Commits a transaction; never fails, see the result. */
+    /** Commits a transaction at once and charges its changes; whoever has many paces them. Never fails, see the result. */
     public CompletableFuture<TxnResult> commit(Txn txn) {
         var result = new CompletableFuture<TxnResult>();
-        writes.submit(false, txn.changeCount(), () -> call(false, "POST", "/txn", Pack.write(txn.toNode())).whenComplete((a, e) -> result.complete(judge(a, e))));
+        writes.charge(txn.changeCount());
+        call(false, "POST", "/txn", Pack.write(txn.toNode())).whenComplete((a, e) -> result.complete(judge(a, e)));
         return result;
     }
 
--- a/src/main/java/org/dunespindle/coordination/Committer.java
+++ b/src/main/java/org/dunespindle/coordination/Committer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.dunespindle.bookkeeping.Replica;
 import org.dunespindle.bookkeeping.StateClient;
@@ -26,6 +27,8 @@
 public final class Committer {
     private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
     private static final int MOST_IN_FLIGHT = 3;
+    private static final int USERS_AHEAD = 4;
+    private static final int KEPT_BACK = 2;
     private static final Duration RATE_PAUSE = Duration.ofMillis(150);
     private final StateClient state;
     private final Replica replica;
@@ -38,6 +41,7 @@
     private int inFlight;
     private boolean timerSet;
     private long written;
+    private final Map<String, Integer> kinds = new TreeMap<>();
 
     /** Who goes first when writes are scarce. */
     public enum Lane { USERS, PLACING, KEEPING }
@@ -77,6 +81,17 @@
         flush();
     }
 
+    /** Changes and conflicts so far by kind of key, counted while debugging. */
+    public Map<String, Integer> kinds() {
+        return kinds;
+    }
+
+    private static String kind(String key) {
+        int first = key.indexOf('/');
+        int second = key.indexOf('/', first + 1);
+        return second < 0 ? key.substring(first + 1) : key.substring(first + 1, second);
+    }
+
     private Proposal head() {
         for (ArrayDeque<Proposal> lane : lanes.values()) {
             if (!lane.isEmpty()) {
@@ -91,8 +106,10 @@
         while (inFlight < MOST_IN_FLIGHT && (head = head()) != null) {
             Duration pause = notBefore.minus(timeline.now());
             int cost = head.txn.changeCount();
-            if (pause.isNegative() && state.writes().available() < Math.min(cost, 1)) {
-                pause = state.writes().until(1);
+            // What users wait for may be paid off afterwards; the rest waits until it is paid for, bookkeeping until some is left over.
+            double wanted = head.lane == Lane.USERS ? -USERS_AHEAD : cost + (head.lane == Lane.KEEPING ? KEPT_BACK : 0);
+            if (pause.isNegative() && state.writes().lacks(wanted)) {
+                pause = state.writes().until(wanted);
             }
             if (!pause.isNegative() && !pause.isZero()) {
                 later(pause);
@@ -125,6 +142,9 @@
         batch.forEach(p -> txn.absorb(p.txn, txnOps));
         inFlight++;
         written += txn.changeCount();
+        if (LOG.isDebugEnabled()) {
+            txn.changes().keySet().forEach(k -> kinds.merge(kind(k), 1, Integer::sum));
+        }
         state.commit(txn).thenAccept(result -> settle(batch, txn, result));
     }
 
@@ -144,6 +164,9 @@
             replica.adopt(txn, applied.revision());
             finish(batch, result);
         } else if (result instanceof TxnResult.Conflict conflict) {
+            if (LOG.isDebugEnabled()) {
+                conflict.failed().forEach(k -> kinds.merge("conflict " + kind(k), 1, Integer::sum));
+            }
             // One stale proposal must not sink its neighbours: only those whose guards failed are decided anew.
             var stale = new ArrayList<Proposal>();
             for (int i = batch.size() - 1; i >= 0; i--) {
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -42,6 +42,8 @@
     private static final Duration PLACING_VIEW = Duration.ofSeconds(3);
     private static final Duration CUT_OFF_VIEW = Duration.ofSeconds(4);
     private static final Duration OTHERS_FIRST = Duration.ofMillis(900);
+    private static final Duration GATHER_PER_WAITING = Duration.ofMillis(30);
+    private static final Duration GATHER_AT_MOST = Duration.ofSeconds(3);
     private static final Duration TELL_LOAD_EVERY = Duration.ofSeconds(10);
     private static final int ROUND_SHARE = 4;
     private static final int PLAN_SHARE = 8;
@@ -108,8 +110,8 @@
         this.cloud = new CloudClient(http, settings, timeline);
         this.fleet = new Fleet(settings, replica, membership, edits, hostDesk, cloud, timeline, sessions, peers, decisions, targets, this::options, () -> catalog);
         this.ownership = new Ownership(settings, replica, membership, hostDesk, edits, peers, sessions, timeline, this::options);
-        this.outcomes = new Outcomes(replica, committer, hostDesk, sessions, timeline, decisions, settings.state().txnOps());
-        this.placements = new Placements(settings, replica, membership, committer, edits, timeline, decisions, this::takesTasks);
+        this.outcomes = new Outcomes(settings, replica, membership, committer, hostDesk, sessions, timeline, decisions);
+        this.placements = new Placements(settings, replica, membership, committer, edits, outcomes, timeline, decisions, this::takesTasks);
         this.gangs = new Gangs(settings, replica, committer, hostDesk, sessions, timeline, decisions, this::options);
         this.admin = new Admin(settings, replica, membership, committer, edits, decisions, this, new TreeMap<>(Map.of("decisionRound", rounds, "plan", plans, "stateCall", state.latency(),
                 "cloudCall", cloud.latency(), "holdPlacement", gangs.holdPlacement(), "replacement", gangs.replacement(), "accept", accepts)));
@@ -354,18 +356,23 @@
             }
         }
         int most = Math.max(8, (settings.state().valueBytes() - RECORD_RESERVE) / RECORD_PER_TASK);
-        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, outcomes.ended(), leads ? Set.of() : leftAlone(jobs), leads,
+        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, outcomes.ended(), leftAlone(jobs), leads,
                 leads ? headroom.phantoms(options().spareJobs()) : List.of(), targets.byClass());
     }
 
     /**
      * Arrays that another controller looks after and is placing: two that write one record at once only make one of
-     * them fail. When a record stays as it is with tasks to place, its home has no room, and any other helps.
+     * them fail. When a record stays as it is with tasks to place, its home has no room, and any other helps. Under
+     * load, a job's placements are gathered, the longer the more changes wait to be written.
      */
     private Set<String> leftAlone(List<JobRecord> jobs) {
-        var others = new HashSet<String>();
+        var alone = new HashSet<String>();
         var seen = new HashSet<String>();
         Duration now = timeline.now();
+        Duration gather = GATHER_PER_WAITING.multipliedBy(committer.waiting());
+        if (gather.compareTo(GATHER_AT_MOST) > 0) {
+            gather = GATHER_AT_MOST;
+        }
         for (JobRecord j : jobs) {
             if (!j.open() || j.job().gang() || j.unplacedCount() == 0) {
                 continue;
@@ -376,13 +383,14 @@
                 stillSince.put(j.id(), now);
             }
             boolean home = membership.homeOf(j.id()).filter(settings.nodeName()::equals).isPresent();
-            if (!home && now.minus(stillSince.get(j.id())).compareTo(OTHERS_FIRST) < 0) {
-                others.add(j.id());
+            Duration still = now.minus(stillSince.get(j.id()));
+            if (still.compareTo(home ? j.claims().isEmpty() ? Duration.ZERO : gather : OTHERS_FIRST.plus(gather)) < 0) {
+                alone.add(j.id());
             }
         }
         stillAt.keySet().retainAll(seen);
         stillSince.keySet().retainAll(seen);
-        return others;
+        return alone;
     }
 
     private void tellLoad() {
@@ -390,9 +398,10 @@
             return;
         }
         loadToldAt = timeline.now();
-        LOG.debug("load: {} reports, {} calls, {} writes ({} wait), rounds {} (p90 {} ms), plans {} (p50 {} ms, p90 {} ms), state calls {} (p90 {} ms), own {} of {} machines", hostDesk.reports(),
+        LOG.debug("load: {} reports, {} calls, {} writes ({} wait), rounds {} (p90 {} ms), plans {} (p50 {} ms, p90 {} ms), state calls {} (p90 {} ms), own {} of {} machines, may write {}/s, {}", hostDesk.reports(),
                 hostDesk.calls(), committer.written(), committer.waiting(), rounds.getTotalCount(), rounds.getValueAtPercentile(90) / 1000, plans.getTotalCount(),
                 plans.getValueAtPercentile(50) / 1000, plans.getValueAtPercentile(90) / 1000, state.latency().getTotalCount(), state.latency().getValueAtPercentile(90) / 1000,
-                replica.hosts().values().stream().filter(membership::owns).count(), replica.hosts().size());
+                replica.hosts().values().stream().filter(membership::owns).count(), replica.hosts().size(),
+                Math.round(state.writes().perSecond()), committer.kinds());
     }
 }
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -41,6 +41,7 @@
     private static final int LATE_BOOT_TENTHS = 16;
     private static final Duration SURE_OF_LIST = Duration.ofSeconds(2);
     private static final Duration JUDGE_EVERY = Duration.ofMillis(900);
+    private static final int FEWEST_FOR_CUT = 4;
     private static final int MOST_SLOTS = 128;
     private static final int MOST_RETURNED = 100;
     private static final int MOST_RENTED = 50;
@@ -69,6 +70,7 @@
     private Duration tellAgainAt = Duration.ZERO;
     private Duration judgeAgainAt = Duration.ZERO;
     private boolean firstOfAll;
+    private final Set<String> silentZones = new HashSet<>();
     private boolean listing;
     private boolean renting;
     private boolean returning;
@@ -177,7 +179,14 @@
             counts.merge((h.spot() ? "spot " : "ordinary ") + use, 1, Integer::sum);
             counts.merge("tasks", claims, Integer::sum);
         }
-        LOG.debug("fleet: {}", counts);
+        double claimed = 0;
+        double holding = 0;
+        for (JobRecord j : replica.livingJobs()) {
+            claimed += j.job().perTask().gpus() * j.claims().size();
+            holding += j.job().gang() && j.mode() != JobRecord.Mode.REAL ? j.job().perTask().gpus() * j.claims().size() : 0;
+        }
+        double all = replica.hosts().values().stream().mapToDouble(h -> known(h.type()).map(t -> t.size().gpus()).orElse(0.0)).sum();
+        LOG.debug("fleet: {}, accelerators {} claimed ({} by placeholders) of {}", counts, Math.round(claimed), Math.round(holding), Math.round(all));
     }
 
     private void list(Duration now) {
@@ -237,7 +246,36 @@
         }
     }
 
+    /**
+     * A zone most of whose machines fell silent is cut off rather than dead. What runs there goes on as long as a controller in
+     * it may answer the workers, and their leases after that; replacing it all earlier would only lose the work.
+     */
+    private Duration cutPatience() {
+        var w = settings.workers();
+        return w.cancel().compareTo(w.lease()) > 0 ? w.cancel() : w.lease();
+    }
+
+    private void findSilentZones(Duration now) {
+        var all = new HashMap<String, Integer>();
+        var silent = new HashMap<String, Integer>();
+        Duration limit = settings.workers().report().multipliedBy(2).plusSeconds(2);
+        for (HostRecord h : replica.hosts().values()) {
+            Optional<Duration> heard = heard(h.id());
+            if (heard.isPresent() && !h.leaving()) {
+                all.merge(h.zone(), 1, Integer::sum);
+                silent.merge(h.zone(), now.minus(heard.get()).compareTo(limit) > 0 ? 1 : 0, Integer::sum);
+            }
+        }
+        silentZones.clear();
+        all.forEach((zone, n) -> {
+            if (n >= FEWEST_FOR_CUT && silent.get(zone) * 2 > n) {
+                silentZones.add(zone);
+            }
+        });
+    }
+
     private void judge(Duration now, Planner.Plan plan) {
+        findSilentZones(now);
         for (HostRecord h : List.copyOf(replica.hosts().values())) {
             if (h.leaving() || isGone(h.id()) || edits.busy(h.id())) {
                 continue;
@@ -275,7 +313,7 @@
         boolean ownerTalks = membership.owns(h) || peers.word(h.owner()).isPresent();
         Duration limit = silentLimit.plus(ownerTalks ? Duration.ZERO : Duration.ofSeconds(25));
         Duration silence = now.minus(later(heard.get(), leadingSince.orElse(now)));
-        if (silence.compareTo(limit) > 0) {
+        if (silence.compareTo(limit) > 0 && (!silentZones.contains(h.zone()) || silence.compareTo(cutPatience()) > 0)) {
             return Optional.of("it has been silent for " + silence.toSeconds() + " s");
         }
         if (membership.owns(h) && leading.compareTo(silentLimit) > 0 && hostDesk.oneWayFor(h.id()).filter(d -> d.compareTo(silentLimit) > 0).isPresent()) {
--- a/src/main/java/org/dunespindle/coordination/Outcomes.java
+++ b/src/main/java/org/dunespindle/coordination/Outcomes.java
@@ -16,6 +16,7 @@
 import org.dunespindle.bookkeeping.Txn;
 import org.dunespindle.bookkeeping.TxnResult;
 import org.dunespindle.protocol.PieceId;
+import org.dunespindle.protocol.Settings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,76 +27,98 @@
  */
 final class Outcomes {
     private static final Logger LOG = LoggerFactory.getLogger(Outcomes.class);
-    private static final Duration GATHER = Duration.ofMillis(1500);
-    private static final Duration GATHER_PER_WAITING = Duration.ofMillis(50);
-    private static final Duration GATHER_AT_MOST = Duration.ofSeconds(6);
-    private static final int OTHER_GUARDS = 4;
+    /** While more of the job is under way here: what has ended is stored with its next placement, at the latest after this. */
+    private static final Duration GATHER = Duration.ofSeconds(15);
+    /** Once nothing more of the job is under way here: others may hold its last task. */
+    private static final Duration GATHER_LAST = Duration.ofMillis(400);
+    /** While the team is close to its limit, which counts tasks until their end is stored. */
+    private static final Duration GATHER_TIGHT = Duration.ofMillis(1500);
+    private static final Duration LOOK_AT_TEAMS_EVERY = Duration.ofSeconds(1);
+    private static final double TIGHT = 0.75;
+    private static final int OTHER_GUARDS = 6;
     private final Replica replica;
     private final Committer committer;
     private final HostDesk hostDesk;
     private final Sessions sessions;
     private final Timeline timeline;
     private final Decisions decisions;
+    private final Membership membership;
+    private final Settings settings;
     private final int mostHosts;
+    private final Set<String> tightTeams = new HashSet<>();
+    private Duration lookAgainAt = Duration.ZERO;
+    private Map<String, List<Seen>> byJob = Map.of();
 
     private record Seen(Reconciler.Event event, Duration since) {}
 
-    Outcomes(Replica replica, Committer committer, HostDesk hostDesk, Sessions sessions, Timeline timeline, Decisions decisions, int txnOps) {
+    Outcomes(Settings settings, Replica replica, Membership membership, Committer committer, HostDesk hostDesk, Sessions sessions, Timeline timeline, Decisions decisions) {
+        this.settings = settings;
+        this.membership = membership;
         this.replica = replica;
         this.committer = committer;
         this.hostDesk = hostDesk;
         this.sessions = sessions;
         this.timeline = timeline;
         this.decisions = decisions;
-        this.mostHosts = Math.max(1, Txn.mostGuards(txnOps) - OTHER_GUARDS);
+        this.mostHosts = Math.max(1, Txn.mostGuards(settings.state().txnOps()) / 2 - OTHER_GUARDS);
     }
 
     /** Tasks whose end is reported but not stored: their room is free already. */
     Set<PieceId> ended() {
         var set = new HashSet<PieceId>();
         for (String host : hostDesk.withEvents()) {
-            sessions.of(host).events.forEach(e -> set.add(new PieceId(e.job(), e.task())));
+            // A placeholder that waited in vain is booked again where it was, so its room is not free.
+            sessions.of(host).events.stream().filter(e -> e.fate() != Reconciler.Fate.WAITED_IN_VAIN).forEach(e -> set.add(new PieceId(e.job(), e.task())));
         }
         return set;
     }
 
     /** Proposes what is due, along with claims on machines that are proven gone. */
     void store(List<Reconciler.Event> gone) {
-        var byJob = new LinkedHashMap<String, List<Seen>>();
+        lookAtTeams();
+        byJob = new LinkedHashMap<>();
         for (String host : hostDesk.withEvents()) {
             Sessions.Session s = sessions.of(host);
             s.events.forEach(e -> byJob.computeIfAbsent(e.job(), k -> new ArrayList<>()).add(new Seen(e, s.eventsSince)));
         }
         gone.forEach(e -> byJob.computeIfAbsent(e.job(), k -> new ArrayList<>()).add(new Seen(e, Duration.ZERO)));
-        byJob.forEach((id, seen) -> replica.job(id).filter(j -> !committer.isLocked(Keys.job(id)) && due(j, seen)).ifPresent(j -> store(j, seen)));
+        byJob.forEach((id, seen) -> replica.job(id).filter(j -> !committer.isLocked(Keys.job(id)) && due(j, seen)).ifPresent(this::store));
+    }
+
+    private void lookAtTeams() {
+        if (timeline.now().compareTo(lookAgainAt) < 0) {
+            return;
+        }
+        lookAgainAt = timeline.now().plus(LOOK_AT_TEAMS_EVERY);
+        tightTeams.clear();
+        Planner.use(replica.livingJobs()).forEach((name, use) -> {
+            Settings.Team team = settings.teams().get(name);
+            if (team != null && (use.gpus() > TIGHT * team.gpusMax() || use.cpus() > TIGHT * team.cpusMax())) {
+                tightTeams.add(name);
+            }
+        });
     }
 
     private boolean due(JobRecord j, List<Seen> seen) {
-        boolean gang = j.spec().isPresent() && j.job().gang();
-        boolean last = j.unplacedCount() == 0 && j.claims().size() <= seen.size();
-        Duration gather = GATHER.plus(GATHER_PER_WAITING.multipliedBy(committer.waiting()));
-        Duration patience = gather.compareTo(GATHER_AT_MOST) > 0 ? GATHER_AT_MOST : gather;
-        return gang || last || seen.stream().anyMatch(s -> s.event.fate() != Reconciler.Fate.DONE || timeline.now().minus(s.since).compareTo(patience) >= 0);
+        if (j.spec().isEmpty() || !j.open() || j.job().gang() || seen.stream().anyMatch(s -> s.event.fate() != Reconciler.Fate.DONE)) {
+            return true;
+        }
+        boolean last = false;
+        if (j.unplacedCount() == 0) {
+            if (j.claims().size() <= seen.size()) {
+                return true;
+            }
+            long here = j.claims().stream().filter(c -> Optional.ofNullable(replica.hosts().get(c.host())).filter(membership::owns).isPresent()).count();
+            last = here <= seen.size();
+        }
+        Duration patience = last ? GATHER_LAST : tightTeams.contains(j.job().team()) ? GATHER_TIGHT : GATHER;
+        return seen.stream().anyMatch(s -> timeline.now().minus(s.since).compareTo(patience) >= 0);
     }
 
-    /** As many outcomes as one transaction's guards allow; the others follow once it is stored. */
-    private void store(JobRecord j, List<Seen> seen) {
+    private void store(JobRecord j) {
         var txn = new Txn();
-        var pages = new HashSet<String>();
         var events = new ArrayList<Reconciler.Event>();
-        for (Seen s : seen) {
-            Optional<Claim> claim = j.claim(s.event.task());
-            if (claim.isEmpty()) {
-                continue;
-            }
-            String page = Keys.host(claim.get().host());
-            if (pages.contains(page) || pages.size() < mostHosts) {
-                pages.add(page);
-                txn.guard(page, replica.stamp(page));
-                events.add(s.event);
-            }
-        }
-        JobRecord after = JobChanges.apply(j, events, timeline.wallTime());
+        JobRecord after = fold(j, txn, events);
         if (after == j) {
             return;
         }
@@ -108,7 +131,28 @@
         });
     }
 
-    private void tell(JobRecord job, Reconciler.Event e) {
+    /**
+     * Takes what is known of a job's tasks into its record, which is written anyway. As many outcomes as half of a
+     * transaction's guards allow; the others follow once it is stored.
+     */
+    JobRecord fold(JobRecord j, Txn txn, List<Reconciler.Event> taken) {
+        var pages = new HashSet<String>();
+        for (Seen s : byJob.getOrDefault(j.id(), List.of())) {
+            Optional<Claim> claim = j.claim(s.event.task());
+            if (claim.isEmpty()) {
+                continue;
+            }
+            String page = Keys.host(claim.get().host());
+            if (pages.contains(page) || pages.size() < mostHosts) {
+                pages.add(page);
+                txn.guard(page, replica.stamp(page));
+                taken.add(s.event);
+            }
+        }
+        return JobChanges.apply(j, taken, timeline.wallTime());
+    }
+
+    void tell(JobRecord job, Reconciler.Event e) {
         String host = job.claim(e.task()).map(Claim::host).orElse("?");
         Sessions.Session s = sessions.of(host);
         if (e.fate() == Reconciler.Fate.ERROR) {
--- a/src/main/java/org/dunespindle/coordination/Peers.java
+++ b/src/main/java/org/dunespindle/coordination/Peers.java
@@ -43,7 +43,7 @@
     private final Map<String, Long> taken = new HashMap<>();
 
     /** The last word of a controller. */
-    public record Word(Duration at, long incarnation, Duration viewAge, double writes, boolean hungry) {}
+    public record Word(Duration at, long incarnation, Duration viewAge, double writes, int waiting) {}
 
     /** A machine as its owner last told. */
     public record Machine(boolean up, boolean bad, Duration silentFor, Duration toldAt, String address) {}
@@ -52,7 +52,7 @@
     public record News(String host, long number, boolean up, boolean bad, Duration silentFor, String address, Set<String> images) {}
 
     /** What this controller needs of the write rate. */
-    public record Need(double writes, boolean hungry) {}
+    public record Need(double writes, int waiting) {}
 
     private static final class Heard {
         long incarnation;
@@ -136,7 +136,7 @@
     }
 
     private ObjectNode head(Duration viewAge, Need need) {
-        return Pack.map().put("node", settings.nodeName()).put("inc", incarnation.getAsLong()).put("viewAgeMs", viewAge.toMillis()).put("writes", need.writes).put("hungry", need.hungry);
+        return Pack.map().put("node", settings.nodeName()).put("inc", incarnation.getAsLong()).put("viewAgeMs", viewAge.toMillis()).put("writes", need.writes).put("waiting", need.waiting);
     }
 
     private static void add(ObjectNode n, List<News> news, long from) {
@@ -200,6 +200,6 @@
     }
 
     private void note(String node, JsonNode n) {
-        words.put(node, new Word(timeline.now(), n.path("inc").asLong(), Duration.ofMillis(n.path("viewAgeMs").asLong()), n.path("writes").asDouble(), n.path("hungry").asBoolean()));
+        words.put(node, new Word(timeline.now(), n.path("inc").asLong(), Duration.ofMillis(n.path("viewAgeMs").asLong()), n.path("writes").asDouble(), n.path("waiting").asInt()));
     }
 }
--- a/src/main/java/org/dunespindle/coordination/Placements.java
+++ b/src/main/java/org/dunespindle/coordination/Placements.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import org.dunespindle.bookkeeping.Replica;
 import org.dunespindle.bookkeeping.Timeline;
 import org.dunespindle.bookkeeping.Txn;
+import org.dunespindle.bookkeeping.TxnResult;
 import org.dunespindle.protocol.Pack;
 import org.dunespindle.protocol.Resources;
 import org.dunespindle.protocol.Settings;
@@ -31,18 +33,33 @@
     private final Membership membership;
     private final Committer committer;
     private final MachineEdits edits;
+    private final Outcomes outcomes;
     private final Timeline timeline;
     private final Decisions decisions;
     private final Predicate<HostRecord> takesTasks;
     /** Records proposed but not stored yet: their room is taken, or another job would be booked on it too. */
     private final Map<String, JobRecord> proposed = new HashMap<>();
+    private final Map<String, Spending> spending = new HashMap<>();
 
-    Placements(Settings settings, Replica replica, Membership membership, Committer committer, MachineEdits edits, Timeline timeline, Decisions decisions, Predicate<HostRecord> takesTasks) {
+    /** What was placed under a team's record as it stands. */
+    private static final class Spending {
+        final long stamp;
+        Resources spent = Resources.NONE;
+        Resources unsure = Resources.NONE;
+
+        Spending(long stamp) {
+            this.stamp = stamp;
+        }
+    }
+
+    Placements(Settings settings, Replica replica, Membership membership, Committer committer, MachineEdits edits, Outcomes outcomes, Timeline timeline, Decisions decisions,
+            Predicate<HostRecord> takesTasks) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
         this.committer = committer;
         this.edits = edits;
+        this.outcomes = outcomes;
         this.timeline = timeline;
         this.decisions = decisions;
         this.takesTasks = takesTasks;
@@ -53,92 +70,103 @@
         return proposed.getOrDefault(job.id(), job);
     }
 
-    /** One transaction per team, which the team's ledger guards. */
+    /** One transaction per booking, guarded by the job, its machines and its team's ledger. */
     void place(Planner.Plan plan) {
-        var byTeam = new LinkedHashMap<String, List<Planner.Booking>>();
+        Map<String, Resources> use = null;
         for (Planner.Booking b : plan.bookings()) {
             if (committer.isLocked(Keys.job(b.job().id())) || committer.isLocked(Keys.team(b.job().job().team()))) {
                 continue;
             }
-            var places = new LinkedHashMap<Integer, String>();
-            b.places().forEach((task, host) -> {
-                HostRecord h = replica.hosts().get(host);
-                if (h != null && membership.owns(h) && !edits.busy(host) && takesTasks.test(h) && (!b.job().job().gang() || membership.leads())) {
-                    places.put(task, host);
-                }
-            });
-            // A gang of one is whole or not; of others, placeholders are placed as room comes.
+            Map<Integer, String> places = ownPart(b);
             if (!places.isEmpty()) {
-                byTeam.computeIfAbsent(b.job().job().team(), t -> new ArrayList<>()).add(new Planner.Booking(b.job(), places));
-            }
-        }
-        if (!byTeam.isEmpty()) {
-            var jobs = new ArrayList<JobRecord>();
-            replica.livingJobs().forEach(j -> jobs.add(ahead(j)));
-            Map<String, Resources> use = Planner.use(jobs);
-            byTeam.forEach((team, bookings) -> placeForTeam(team, bookings, use.getOrDefault(team, Resources.NONE)));
-        }
-    }
-
-    private void placeForTeam(String team, List<Planner.Booking> bookings, Resources before) {
-        String key = Keys.team(team);
-        var txn = new Txn().guard(key, replica.stamp(key));
-        Resources use = before;
-        var records = new HashMap<String, JobRecord>();
-        for (Planner.Booking b : bookings) {
-            Map<Integer, String> places = fitting(b, txn);
-            JobRecord job = b.job();
-            Resources after = use.plus(job.job().perTask().times(places.size()));
-            if (places.isEmpty() || txn.changeCount() >= settings.state().txnOps() - 1 || !settings.teams().get(team).withinLimit(after)) {
-                continue;
-            }
-            JobRecord placed = job.placed(places);
-            if (job.job().gang() && job.job().tasks() == 1) {
-                placed = placed.real(); // its placeholder would be the whole gang and start, so it runs directly
-            }
-            ObjectNode node = placed.toNode();
-            if (Pack.countedSize(node) > settings.state().valueBytes() * FILLED_BY_PLACING) {
-                continue; // some of its tasks must end first
-            }
-            var more = new Txn().guard(Keys.job(job.id()), replica.stamp(Keys.job(job.id()))).write(Keys.job(job.id()), node);
-            places.values().forEach(h -> more.guard(Keys.host(h), replica.stamp(Keys.host(h))));
-            if (job.job().gang()) {
-                more.guard(Keys.LEADER, replica.stamp(Keys.LEADER));
-            }
-            if (!txn.absorb(more, settings.state().txnOps() - 1)) {
-                continue;
+                if (use == null) {
+                    var jobs = new ArrayList<JobRecord>();
+                    replica.livingJobs().forEach(j -> jobs.add(ahead(j)));
+                    use = Planner.use(jobs);
+                }
+                place(b.job(), places, use);
             }
-            use = after;
-            records.put(job.id(), placed);
-            LOG.debug("{} ({}): {} placed {} ms after it came", job.id(), job.job().jobClass(), places.size(), LOG.isDebugEnabled() ? Duration.between(job.arrived(), timeline.wallTime()).toMillis() : 0);
         }
-        if (txn.changeCount() > 0) {
-            txn.write(key, Pack.map().put("cpus", use.cpus()).put("gpus", use.gpus()));
-            propose(txn, records);
-        }
-    }
-
-    private void propose(Txn txn, Map<String, JobRecord> records) {
-        proposed.putAll(records);
-        committer.propose(Committer.Lane.PLACING, txn, r -> proposed.keySet().removeAll(records.keySet()));
     }
 
-    /** The places whose guards still fit: a gang or array over very many pages is placed in several transactions. */
-    private Map<Integer, String> fitting(Planner.Booking b, Txn txn) {
-        int room = Txn.mostGuards(settings.state().txnOps() - 1) - txn.guards().size() - OTHER_GUARDS;
-        var pages = new java.util.HashSet<String>();
+    /** The places on machines commanded here, as many as one transaction's guards allow: the others follow in the next. */
+    private Map<Integer, String> ownPart(Planner.Booking b) {
+        int room = Txn.mostGuards(settings.state().txnOps()) / 2 - OTHER_GUARDS;
+        boolean may = !b.job().job().gang() || membership.leads();
+        var pages = new HashSet<String>();
         var places = new LinkedHashMap<Integer, String>();
         b.places().forEach((task, host) -> {
-            String page = Keys.host(host);
-            boolean known = txn.guards().containsKey(page) || pages.contains(page);
-            if (known || pages.size() < room) {
-                pages.add(page);
+            HostRecord h = replica.hosts().get(host);
+            if (may && h != null && membership.owns(h) && !edits.busy(host) && takesTasks.test(h) && (pages.contains(Keys.host(host)) || pages.size() < room)) {
+                pages.add(Keys.host(host));
                 places.put(task, host);
             }
         });
         return places;
     }
 
+    private void place(JobRecord job, Map<Integer, String> places, Map<String, Resources> use) {
+        String team = job.job().team();
+        String teamKey = Keys.team(team);
+        Resources need = job.job().perTask().times(places.size());
+        Resources used = use.getOrDefault(team, Resources.NONE);
+        if (!settings.teams().get(team).withinLimit(used.plus(need))) {
+            return;
+        }
+        Spending s = spending.compute(team, (t, old) -> old != null && old.stamp == replica.stamp(teamKey) ? old : new Spending(replica.stamp(teamKey)));
+        // A process that started after the record was written can't know what an earlier one of its name placed under it.
+        boolean entitled = s.stamp > replica.stamp(Keys.INCARNATION + settings.nodeName());
+        var view = new TeamLedger.View(settings.teams().get(team), settings.seeds().size() + 1, TeamLedger.Entry.parse(replica.value(teamKey)), entitled, s.spent, s.unsure,
+                replica.syncedTo() >= s.stamp, used);
+        TeamLedger.Way way = TeamLedger.way(view, need);
+        var txn = new Txn().guard(teamKey, s.stamp);
+        if (way instanceof TeamLedger.Way.Close close) {
+            committer.propose(Committer.Lane.PLACING, txn.write(teamKey, close.entry().toNode()), r -> { });
+            return;
+        }
+        if (way instanceof TeamLedger.Way.Wait) {
+            return;
+        }
+        if (way instanceof TeamLedger.Way.Write write) {
+            txn.write(teamKey, write.entry().toNode());
+        }
+        List<Reconciler.Event> told = new ArrayList<>();
+        JobRecord placed = outcomes.fold(job, txn, told).placed(places);
+        if (job.job().gang() && job.job().tasks() == 1) {
+            placed = placed.real(); // its placeholder would be the whole gang and start, so it runs directly
+        }
+        ObjectNode node = placed.toNode();
+        String key = Keys.job(job.id());
+        txn.guard(key, replica.stamp(key)).write(key, node);
+        places.values().forEach(h -> txn.guard(Keys.host(h), replica.stamp(Keys.host(h))));
+        if (job.job().gang()) {
+            txn.guard(Keys.LEADER, replica.stamp(Keys.LEADER));
+        }
+        if (Pack.countedSize(node) > settings.state().valueBytes() * FILLED_BY_PLACING || !txn.fits(settings.state().txnOps())) {
+            return; // some of its tasks must end first
+        }
+        use.merge(team, need, Resources::plus);
+        s.spent = s.spent.plus(need);
+        LOG.debug("{} ({}): {} placed {} ms after it came", job.id(), job.job().jobClass(), places.size(), LOG.isDebugEnabled() ? Duration.between(job.arrived(), timeline.wallTime()).toMillis() : 0);
+        propose(txn, job.id(), placed, r -> {
+            if (r instanceof TxnResult.Applied) {
+                told.forEach(e -> outcomes.tell(job, e));
+            } else if (r instanceof TxnResult.Unknown) {
+                s.unsure = s.unsure.plus(need);
+            } else {
+                s.spent = s.spent.minus(need);
+            }
+        });
+    }
+
+    private void propose(Txn txn, String id, JobRecord record, java.util.function.Consumer<TxnResult> then) {
+        proposed.put(id, record);
+        committer.propose(Committer.Lane.PLACING, txn, r -> {
+            proposed.remove(id);
+            then.accept(r);
+        });
+    }
+
     /** Stops the tasks that give way, once their machine is borrowed: its owner would fill the room with other work at once. */
     void evict(Planner.Plan plan) {
         var victims = new LinkedHashMap<String, JobRecord>();
@@ -151,7 +179,7 @@
         }
         victims.forEach((id, changed) -> {
             String key = Keys.job(id);
-            propose(new Txn().guard(Keys.LEADER, replica.stamp(Keys.LEADER)).guard(key, replica.stamp(key)).write(key, changed.toNode()), Map.of(id, changed));
+            propose(new Txn().guard(Keys.LEADER, replica.stamp(Keys.LEADER)).guard(key, replica.stamp(key)).write(key, changed.toNode()), id, changed, r -> { });
         });
     }
 }
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -34,7 +34,7 @@
      * Everything a plan depends on.
      *
      * @param ended tasks whose end is reported but not stored yet: their room is free, their team's use is not
-     * @param leftAlone jobs that another controller is placing
+     * @param leftAlone jobs that another controller is placing, or that wait for more: not booked here now
      * @param gangs whether gangs are planned here
      */
     public record Snapshot(Instant now, List<JobRecord> jobs, List<Host> hosts, Map<String, Settings.Team> teams, Map<String, Place> whereabouts,
@@ -191,7 +191,7 @@
                 }
             });
             var ordered = new ArrayList<>(s.jobs());
-            ordered.removeIf(j -> !j.open() || j.unplacedCount() == 0 || s.leftAlone().contains(j.id()) || j.job().gang() && !s.gangs());
+            ordered.removeIf(j -> !j.open() || j.unplacedCount() == 0 || !s.gangs() && (j.job().gang() || s.leftAlone().contains(j.id())));
             var urgency = new HashMap<String, Instant>();
             ordered.forEach(j -> urgency.put(j.id(), urgency(j)));
             ordered.sort(Comparator.comparing((JobRecord j) -> j.job().priority(), Comparator.reverseOrder()).thenComparing(j -> !guaranteed.contains(j.id()))
@@ -336,7 +336,7 @@
                     }
                 }
             }
-            if (!places.isEmpty()) {
+            if (!places.isEmpty() && !s.leftAlone().contains(j.id())) {
                 bookings.add(new Booking(j, places));
             }
             int waiting = Math.min(left, allowed(job, kept.plus(pending.getOrDefault(job.team(), Resources.NONE)), left));
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/TeamLedger.java
@@ -0,0 +1,101 @@
+package org.dunespindle.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Settings;
+
+/**
+ * Keeps a team's use within its limit although several controllers place its tasks. The team's record holds an upper
+ * bound of the use when it was written and a share: until the record changes, each controller may add that much,
+ * guarded by the record's stamp but without writing it. Bound and all shares together never exceed the limit.
+ *
+ * <p>A controller that has used its share writes a new bound: the use as it sees it, plus all that the others may have
+ * added unseen. Where that bound is too coarse for what is asked, the shares are closed first: from then on
+ * every placement writes the record, so a view that reaches up to it shows the exact use.
+ */
+final class TeamLedger {
+    /** Stands for no limit; sums of it stay exact enough to compare. */
+    private static final double NO_LIMIT = 1e12;
+    /** Smaller shares would be used up at once, so the record is written with every placement instead. */
+    private static final double LEAST_SHARE = 0.04;
+
+    private TeamLedger() {}
+
+    /** A team's record. */
+    record Entry(Resources bound, Resources share) {
+        static final Entry NONE = new Entry(Resources.NONE, Resources.NONE);
+
+        static Entry parse(Optional<JsonNode> stored) {
+            return stored.map(n -> new Entry(new Resources(n.path("cpus").asDouble(), n.path("gpus").asDouble(), 0),
+                    new Resources(n.path("shareCpus").asDouble(0), n.path("shareGpus").asDouble(0), 0))).orElse(NONE);
+        }
+
+        ObjectNode toNode() {
+            return Pack.map().put("cpus", bound.cpus()).put("gpus", bound.gpus()).put("shareCpus", share.cpus()).put("shareGpus", share.gpus());
+        }
+
+        boolean closed() {
+            return share.cpus() == 0 && share.gpus() == 0;
+        }
+    }
+
+    /** How a placement may go ahead. */
+    sealed interface Way {
+        /** Guarded by the record's stamp alone. */
+        record Guard() implements Way {}
+
+        /** Together with this new record. */
+        record Write(Entry entry) implements Way {}
+
+        /** Not yet: this record, which closes the shares, is to be written first. */
+        record Close(Entry entry) implements Way {}
+
+        /** Not now: the view does not reach up to the record, or the limit is used up. */
+        record Wait() implements Way {}
+    }
+
+    /**
+     * What one controller sees.
+     *
+     * @param names how many controllers there may be
+     * @param entitled whether this process may use its share: it was running when the record was written, so nobody of its name used any before
+     * @param spent what it has added under this record
+     * @param unsure what of that may or may not have been stored
+     * @param upToDate whether the view reaches up to the record
+     * @param use all claims as seen, with what this controller has proposed
+     */
+    record View(Settings.Team team, int names, Entry entry, boolean entitled, Resources spent, Resources unsure, boolean upToDate, Resources use) {}
+
+    static Way way(View v, Resources need) {
+        if (v.entitled && !v.entry.closed() && within(v.spent.plus(need), v.entry.share)) {
+            return new Way.Guard();
+        }
+        if (!v.upToDate) {
+            return new Way.Wait();
+        }
+        Resources bound = v.use.plus(v.entry.share.times(v.entitled ? v.names - 1 : v.names)).plus(v.unsure);
+        if (v.team.withinLimit(bound.plus(need))) {
+            return new Way.Write(open(v.team, bound.plus(need), v.names));
+        }
+        return v.entry.closed() ? new Way.Wait() : new Way.Close(new Entry(bound, Resources.NONE));
+    }
+
+    private static Entry open(Settings.Team team, Resources bound, int names) {
+        double cpus = share(team.cpusMax(), bound.cpus(), names);
+        double gpus = share(team.gpusMax(), bound.gpus(), names);
+        return new Entry(bound, cpus == 0 || gpus == 0 ? Resources.NONE : new Resources(cpus, gpus, 0));
+    }
+
+    private static double share(double most, double used, int names) {
+        double limit = Math.min(most, NO_LIMIT);
+        double part = (limit - used) / names;
+        return part < limit * LEAST_SHARE ? 0 : part;
+    }
+
+    private static boolean within(Resources sum, Resources share) {
+        return sum.cpus() <= share.cpus() && sum.gpus() <= share.gpus();
+    }
+}
--- a/src/main/java/org/dunespindle/coordination/WriteShare.java
+++ b/src/main/java/org/dunespindle/coordination/WriteShare.java
@@ -14,7 +14,6 @@
     /** Controllers hear of one another's need late, so some of the rate is left unused. */
     private static final double SAFE_PART = 0.92;
     private static final double LEAST_PART = 0.08;
-    private static final double AHEAD = 1.5;
     private final Settings settings;
     private final Peers peers;
     private final Membership membership;
@@ -35,7 +34,12 @@
     }
 
     Peers.Need need() {
-        return new Peers.Need(rate, committer.waiting() > 0);
+        return new Peers.Need(rate, committer.waiting());
+    }
+
+    /** What a controller would write if it could: what it does, and some of what waits. */
+    private static double want(double writes, int waiting) {
+        return Math.max(1, writes + waiting / 2.0);
     }
 
     /** Called about once a second. */
@@ -50,19 +54,18 @@
         double all = SAFE_PART * settings.state().writeRps();
         double least = all * LEAST_PART;
         double left = all;
-        int hungry = 1;
+        double own = want(rate, committer.waiting());
+        double wanted = own;
         for (Settings.Seed seed : settings.seeds()) {
             var word = peers.word(seed.name());
-            if (word.isPresent() && word.get().hungry()) {
-                hungry++;
-            } else if (word.isPresent()) {
-                left -= Math.max(least, AHEAD * word.get().writes());
+            if (word.isPresent()) {
+                wanted += want(word.get().writes(), word.get().waiting());
             } else if (membership.incarnationOf(seed.name()).isPresent()) {
                 left -= all / (settings.seeds().size() + 1); // alive but not heard: it takes its equal part
             } else {
                 left -= least;
             }
         }
-        state.writes().rate(Math.max(least, left / hungry));
+        state.writes().rate(Math.max(least, left * own / wanted));
     }
 }
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -47,6 +47,7 @@
     private final Map<String, Set<Integer>> done = new HashMap<>();
     private final Map<String, Duration> cancelled = new HashMap<>();
     private final Map<String, Duration> overAt = new HashMap<>();
+    private final Map<String, Duration> offered = new HashMap<>();
     private final Map<String, String> told = new HashMap<>();
     private final Map<String, List<String>> charters = new HashMap<>();
     /** The one controller that the state service refuses, or -1. */
@@ -298,6 +299,13 @@
 
     private void offer(Submission job) {
         Duration asked = sim.now();
+        // A controller that dies with the request never answers it; its user asks again.
+        sim.after(5000, () -> {
+            if (!told.containsKey(job.id()) && !(offered.get(job.id()).compareTo(asked) > 0)) {
+                offer(job);
+            }
+        });
+        offered.put(job.id(), asked);
         ask(n -> n.submit(Pack.write(job.toNode()), a -> {
             if (a.status() == 200 || a.status() == 201) {
                 told(job.id(), asked, a);
