Room kept for gangs due within seconds, images first, least work first, lighter rounds

Ruled out: placing latency, write rate (no change waits any more), idle machines. Changes: free room for the gangs of the next 12 s, by what came in the last 120 s, is not filled with lower work; a gang goes where machines with its image can take all of it; who gives way is chosen by the work lost; arrays that can meet their time go least work first, one that has not begun for 120 s goes first. An outcome names its claim's booking, since it is stored later now. What looks through everything runs every 100 ms; MessagePack is read without an exception per message; idle connections to workers are limited by the sockets.

--- a/src/main/java/org/dunespindle/AdminCommands.java
+++ b/src/main/java/org/dunespindle/AdminCommands.java
@@ -65,7 +65,7 @@
         String argument = parsed.matchedPositionalValue(0, "");
         var group = new NioEventLoopGroup(1);
         try {
-            var http = new HttpCaller(group.next());
+            var http = new HttpCaller(group.next(), 4);
             return switch (name) {
                 case "job" -> print(call(http, at, "GET", "/v1/jobs/" + argument, new byte[0]));
                 case "drain" -> print(call(http, at, "POST", "/v1/hosts/" + argument + "/drain", new byte[0]));
--- a/src/main/java/org/dunespindle/Daemon.java
+++ b/src/main/java/org/dunespindle/Daemon.java
@@ -28,6 +28,8 @@
 public final class Daemon implements AutoCloseable {
     private static final int BODY_LIMIT = 64 << 10;
     private static final int PEER_BODY_LIMIT = 1 << 20;
+    /** Workers keep a connection each to this controller; idle ones to them may take this part of the sockets. */
+    private static final int KEPT_PART = 5;
     private static final String JSON = "application/json";
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final Controller controller;
@@ -37,7 +39,7 @@
     public Daemon(Settings settings) throws InterruptedException {
         EventLoop loop = group.next();
         var timeline = new LoopTimeline(loop);
-        controller = new Controller(settings, new HttpCaller(loop), timeline);
+        controller = new Controller(settings, new HttpCaller(loop, settings.sockets() / KEPT_PART), timeline);
         front = HttpListener.open(group, settings.front(), BODY_LIMIT, this::front, status -> packed(status, Pack.map().put("error", refusal(status)), Optional.empty()));
         peer = HttpListener.open(group, settings.peerListen(), PEER_BODY_LIMIT, this::peer, status -> json(status, Pack.map().put("error", refusal(status))));
         loop.execute(controller::start);
--- a/src/main/java/org/dunespindle/Rehearsal.java
+++ b/src/main/java/org/dunespindle/Rehearsal.java
@@ -84,7 +84,7 @@
                 """.formatted(HOST, front, HOST, there, there, there);
         Path settings = Files.writeString(Files.createTempFile("rehearsal", ".toml"), file);
         try (var daemon = new Daemon(Settings.load(settings))) {
-            var http = new HttpCaller(group.next());
+            var http = new HttpCaller(group.next(), 4);
             String self = HOST + ":" + front;
             Thread.sleep(LENGTH.toMillis() / 2);
             http.send(self, "GET", "/healthz", new byte[0], Pack.TYPE, TIMEOUT);
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import org.HdrHistogram.Histogram;
 import org.dunespindle.bookkeeping.Claim;
 import org.dunespindle.bookkeeping.HostRecord;
@@ -33,6 +34,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final Duration ROUND_AT_MOST_EVERY = Duration.ofMillis(25);
     private static final Duration ROUND_AT_LEAST_EVERY = Duration.ofMillis(500);
+    /** For what looks through all machines or jobs. */
+    private static final Duration LOOK_EVERY = Duration.ofMillis(100);
     private static final Duration PLAN_AT_MOST_EVERY = Duration.ofMillis(150);
     private static final Duration PLAN_AT_LEAST_EVERY = Duration.ofSeconds(1);
     private static final Duration WORD_EVERY = Duration.ofMillis(1000);
@@ -80,11 +83,13 @@
     private final Map<String, Planner.Place> places = new HashMap<>();
     /** Since when a job's record has been as it is, as seen here. */
     private final Map<String, Duration> stillSince = new HashMap<>();
+    private final Map<Planner.Started, Duration> startedAt = new HashMap<>();
     private final Map<String, Long> stillAt = new HashMap<>();
     private Optional<List<MachineType>> catalog = Optional.empty();
     private Map<String, MachineType> types = Map.of();
     private Planner.Plan plan = Planner.Plan.NONE;
     private Duration lastRound = Duration.ZERO;
+    private Duration lastLook = Duration.ZERO;
     private Duration lastCost = Duration.ZERO;
     private Duration lastPlan = Duration.ZERO;
     private Duration planCost = Duration.ZERO;
@@ -262,7 +267,8 @@
             } catch (RuntimeException e) {
                 LOG.error("a decision round failed and is repeated", e);
             }
-            lastCost = timeline.now().minus(begun);
+            // Planning has a pace of its own; what it costs must not keep orders to machines waiting.
+            lastCost = timeline.now().minus(begun).minus(lastPlan.compareTo(begun) > 0 ? planCost : Duration.ZERO);
             rounds.recordValue(Math.min(LONGEST_MICROS, lastCost.toNanos() / 1000));
         });
     }
@@ -274,7 +280,12 @@
             return;
         }
         hostDesk.pass();
-        outcomes.store(membership.leads() ? onGoneMachines() : List.of());
+        Duration now = timeline.now();
+        boolean look = now.minus(lastLook).compareTo(LOOK_EVERY) >= 0;
+        if (look) {
+            lastLook = now;
+            outcomes.store(membership.leads() ? onGoneMachines() : List.of());
+        }
         if (!membership.joined()) {
             return;
         }
@@ -285,7 +296,9 @@
         if (membership.leads()) {
             gangs.tick();
         }
-        gangs.drainNoticed();
+        if (look) {
+            gangs.drainNoticed();
+        }
         if (planDue()) {
             plan();
         }
@@ -299,7 +312,7 @@
         for (JobRecord j : replica.livingJobs()) {
             for (Claim c : j.claims()) {
                 if (gone.contains(c.host()) || !replica.hosts().containsKey(c.host())) {
-                    events.add(new Reconciler.Event(j.id(), c.task(), Reconciler.Fate.GONE, "its machine " + c.host() + " is gone"));
+                    events.add(new Reconciler.Event(j.id(), c.task(), c.base(), Reconciler.Fate.GONE, "its machine " + c.host() + " is gone"));
                 }
             }
         }
@@ -352,12 +365,26 @@
             }
             boolean up = mine ? takesTasks(h) : peers.machine(h.owner(), h.id()).filter(m -> m.up() && !m.bad()).isPresent();
             if (up || fleet.booting(h) && fleet.bootsInTime(h)) {
-                hosts.add(new Planner.Host(h.id(), h.type(), h.zone(), h.spot(), type.size(), up, mine, sessions.known(h.id()).map(s -> Set.copyOf(s.images())).orElse(Set.of())));
+                hosts.add(new Planner.Host(h.id(), h.type(), h.zone(), h.spot(), type.size(), up, mine, sessions.known(h.id()).map(Sessions.Session::images).orElse(Set.of())));
             }
         }
         int most = Math.max(8, (settings.state().valueBytes() - RECORD_RESERVE) / RECORD_PER_TASK);
         return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, outcomes.ended(), leftAlone(jobs), leads,
-                leads ? headroom.phantoms(options().spareJobs()) : List.of(), targets.byClass());
+                leads ? headroom.phantoms(options().spareJobs(), timeline.wallTime()) : List.of(), targets.byClass(), leads ? progress(jobs) : p -> Duration.ZERO);
+    }
+
+    /** How long tasks booked together have been under way: since they were first seen here, which is a little late or, after a start, much. */
+    private Function<Planner.Started, Duration> progress(List<JobRecord> jobs) {
+        Duration now = timeline.now();
+        var present = new HashSet<Planner.Started>();
+        for (JobRecord j : jobs) {
+            for (Claim c : j.claims()) {
+                present.add(new Planner.Started(j.id(), c.base()));
+            }
+        }
+        startedAt.keySet().retainAll(present);
+        present.forEach(p -> startedAt.putIfAbsent(p, now));
+        return p -> now.minus(startedAt.getOrDefault(p, now));
     }
 
     /**
@@ -398,6 +425,14 @@
             return;
         }
         loadToldAt = timeline.now();
+        var byPhase = new TreeMap<String, Double>();
+        for (HostRecord h : replica.hosts().values()) {
+            if (membership.owns(h)) {
+                sessions.known(h.id()).flatMap(s -> s.report).ifPresent(r -> r.tasks().forEach(t -> replica.job(t.task().job()).flatMap(JobRecord::spec)
+                        .ifPresent(spec -> byPhase.merge(spec.jobClass() + " " + t.phase().wire(), spec.perTask().gpus(), Double::sum))));
+            }
+        }
+        LOG.debug("accelerators by class and phase: {}", byPhase);
         LOG.debug("load: {} reports, {} calls, {} writes ({} wait), rounds {} (p90 {} ms), plans {} (p50 {} ms, p90 {} ms), state calls {} (p90 {} ms), own {} of {} machines, may write {}/s, {}", hostDesk.reports(),
                 hostDesk.calls(), committer.written(), committer.waiting(), rounds.getTotalCount(), rounds.getValueAtPercentile(90) / 1000, plans.getTotalCount(),
                 plans.getValueAtPercentile(50) / 1000, plans.getValueAtPercentile(90) / 1000, state.latency().getTotalCount(), state.latency().getValueAtPercentile(90) / 1000,
--- a/src/main/java/org/dunespindle/coordination/Headroom.java
+++ b/src/main/java/org/dunespindle/coordination/Headroom.java
@@ -15,15 +15,24 @@
 import org.dunespindle.protocol.Submission;
 
 /**
- * Spare room for the next job of each class that is expected to start sooner than a machine boots. It
- * is planned like a job, behind all real ones, and is never booked: a phantom.
+ * Spare room for the next jobs of each class that is expected to start sooner than a machine boots. Planned like a
+ * job but never booked: a phantom. What is likely to come within seconds keeps free room from lower work,
+ * which would only have to give way again; beyond that, room for a typical job is kept behind all real ones.
  */
 public final class Headroom {
     private static final int REMEMBERED = 9;
+    private static final Duration OBSERVED = Duration.ofSeconds(120);
+    private static final Duration AHEAD = Duration.ofSeconds(12);
     private final Set<String> classes = new HashSet<>();
     private final Map<String, ArrayDeque<Submission>> recent = new LinkedHashMap<>();
+    private final Map<String, ArrayDeque<Came>> came = new LinkedHashMap<>();
     private final Set<String> seen = new HashSet<>();
 
+    private record Came(Instant at, int tasks) {}
+
+    /** Room that a class is likely to need next, as a job that nothing stores: its tasks, and how many of them within seconds. */
+    public record Phantom(JobRecord job, int soon) {}
+
     public Headroom(List<Settings.Objective> objectives) {
         objectives.stream().filter(o -> o.kind().equals("wait")).forEach(o -> classes.add(o.jobClass()));
     }
@@ -39,6 +48,7 @@
                 if (list.size() > REMEMBERED) {
                     list.removeFirst();
                 }
+                came.computeIfAbsent(j.job().jobClass(), c -> new ArrayDeque<>()).addLast(new Came(j.arrived(), j.job().tasks()));
             }
         }
         seen.retainAll(present);
@@ -51,16 +61,26 @@
         return counts.entrySet().stream().max(Map.Entry.comparingByValue()).orElseThrow().getKey();
     }
 
-    /** Jobs of median size, some per class, as records that nothing stores. */
-    public List<JobRecord> phantoms(int perClass) {
-        var list = new ArrayList<JobRecord>();
+    /** Tasks of a class that are likely to come within seconds, by what came lately. */
+    private int soon(String name, Instant now) {
+        ArrayDeque<Came> list = came.get(name);
+        while (!list.isEmpty() && Duration.between(list.peekFirst().at, now).compareTo(OBSERVED) > 0) {
+            list.removeFirst();
+        }
+        int tasks = list.stream().mapToInt(Came::tasks).sum();
+        return (int) (tasks * AHEAD.toMillis() / OBSERVED.toMillis());
+    }
+
+    /** One per class: some jobs of median size, and what is likely to come soon. */
+    public List<Phantom> phantoms(int perClass, Instant now) {
+        var list = new ArrayList<Phantom>();
         recent.forEach((name, jobs) -> {
             int[] sizes = jobs.stream().mapToInt(Submission::tasks).sorted().toArray();
             Submission s = jobs.getLast();
-            var typical = new Submission("~" + name, name, s.team(), s.shape(), s.priority(), sizes[sizes.length / 2], s.perTask(), s.types(), Optional.empty(), s.sameZone(), s.spread(),
+            var typical = new Submission("~" + name, name, s.team(), s.shape(), s.priority(), perClass * sizes[sizes.length / 2], s.perTask(), s.types(), Optional.empty(), s.sameZone(), s.spread(),
                     s.spot(), common(jobs), 0, s.estimate(), Duration.ZERO, Duration.ZERO, Optional.empty());
-            for (int i = 0; i < perClass; i++) {
-                list.add(JobRecord.accepted(typical, Instant.EPOCH));
+            if (perClass > 0) {
+                list.add(new Phantom(JobRecord.accepted(typical, Instant.EPOCH), soon(name, now)));
             }
         });
         return list;
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -22,6 +22,7 @@
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.Order;
 import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.PieceId;
 import org.dunespindle.protocol.Settings;
 import org.dunespindle.protocol.TaskPhase;
 import org.dunespindle.protocol.WorkerReport;
@@ -355,7 +356,7 @@
         if (s.unprovenSince.isPresent()) {
             startsWait = true;
             if (oneWayFor(record.id()).filter(d -> d.compareTo(ONE_WAY_AFTER) > 0).isPresent()) {
-                events = withoutStarts(v);
+                events = withoutStarts(v, replica.claimsOn(record.id()));
             }
         }
         events(record.id(), s, events);
@@ -371,13 +372,15 @@
     }
 
     /** On a machine that takes no commands, a task that its report shows absent, with no start under way, is free to start elsewhere. */
-    private static List<Reconciler.Event> withoutStarts(Reconciler.Verdict v) {
+    private static List<Reconciler.Event> withoutStarts(Reconciler.Verdict v, List<Replica.Placed> claims) {
         var events = new ArrayList<>(v.events());
-        v.orders().forEach(o -> {
-            if (o instanceof Order.Run run) {
-                events.add(new Reconciler.Event(run.task().job(), run.task().index(), Reconciler.Fate.GONE, "the machine takes no commands"));
+        var unstarted = new HashSet<PieceId>();
+        v.orders().stream().filter(o -> o instanceof Order.Run).forEach(o -> unstarted.add(o.task()));
+        for (Replica.Placed p : claims) {
+            if (unstarted.contains(new PieceId(p.job().id(), p.claim().task()))) {
+                events.add(new Reconciler.Event(p.job().id(), p.claim().task(), p.claim().base(), Reconciler.Fate.GONE, "the machine takes no commands"));
             }
-        });
+        }
         return events;
     }
 
--- a/src/main/java/org/dunespindle/coordination/JobChanges.java
+++ b/src/main/java/org/dunespindle/coordination/JobChanges.java
@@ -17,7 +17,7 @@
     public static JobRecord apply(JobRecord job, List<Reconciler.Event> events, Instant now) {
         JobRecord j = job;
         for (Reconciler.Event e : events) {
-            if (j.claim(e.task()).isPresent()) {
+            if (j.claim(e.task()).filter(c -> c.base() == e.base()).isPresent()) {
                 j = one(j, e, now);
             }
         }
--- a/src/main/java/org/dunespindle/coordination/Outcomes.java
+++ b/src/main/java/org/dunespindle/coordination/Outcomes.java
@@ -15,7 +15,6 @@
 import org.dunespindle.bookkeeping.Timeline;
 import org.dunespindle.bookkeeping.Txn;
 import org.dunespindle.bookkeeping.TxnResult;
-import org.dunespindle.protocol.PieceId;
 import org.dunespindle.protocol.Settings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -63,12 +62,12 @@
         this.mostHosts = Math.max(1, Txn.mostGuards(settings.state().txnOps()) / 2 - OTHER_GUARDS);
     }
 
-    /** Tasks whose end is reported but not stored: their room is free already. */
-    Set<PieceId> ended() {
-        var set = new HashSet<PieceId>();
+    /** Claims whose end is reported but not stored: their room is free already. */
+    Set<Planner.Ended> ended() {
+        var set = new HashSet<Planner.Ended>();
         for (String host : hostDesk.withEvents()) {
             // A placeholder that waited in vain is booked again where it was, so its room is not free.
-            sessions.of(host).events.stream().filter(e -> e.fate() != Reconciler.Fate.WAITED_IN_VAIN).forEach(e -> set.add(new PieceId(e.job(), e.task())));
+            sessions.of(host).events.stream().filter(e -> e.fate() != Reconciler.Fate.WAITED_IN_VAIN).forEach(e -> set.add(new Planner.Ended(e.job(), e.task(), e.base())));
         }
         return set;
     }
@@ -138,9 +137,9 @@
     JobRecord fold(JobRecord j, Txn txn, List<Reconciler.Event> taken) {
         var pages = new HashSet<String>();
         for (Seen s : byJob.getOrDefault(j.id(), List.of())) {
-            Optional<Claim> claim = j.claim(s.event.task());
+            Optional<Claim> claim = j.claim(s.event.task()).filter(c -> c.base() == s.event.base());
             if (claim.isEmpty()) {
-                continue;
+                continue; // booked again since
             }
             String page = Keys.host(claim.get().host());
             if (pages.contains(page) || pages.size() < mostHosts) {
--- a/src/main/java/org/dunespindle/coordination/Ownership.java
+++ b/src/main/java/org/dunespindle/coordination/Ownership.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -58,8 +60,7 @@
             returnAgainAt = now.plus(RETURN_EVERY);
             gangAt.keySet().retainAll(replica.hosts().keySet());
         }
-        takeOver(true); // what runs is in a hurry, what idles is not
-        takeOver(false);
+        takeOver();
         for (HostRecord h : replica.hosts().values()) {
             if (!membership.owns(h)) {
                 continue;
@@ -72,13 +73,17 @@
         }
     }
 
-    private void takeOver(boolean used) {
+    private void takeOver() {
+        var orphans = new ArrayList<HostRecord>();
         for (HostRecord h : replica.hosts().values()) {
-            if (membership.isAlive(h.owner(), h.incarnation()) || replica.claimsOn(h.id()).isEmpty() == used || edits.busy(h.id())) {
-                continue;
+            if (!membership.isAlive(h.owner(), h.incarnation())) {
+                orphans.add(h);
             }
+        }
+        orphans.sort(Comparator.comparing(h -> replica.claimsOn(h.id()).isEmpty())); // what runs is in a hurry, what idles is not
+        for (HostRecord h : orphans) {
             Optional<String> home = hasGang(h) ? membership.leader() : membership.hashed(h.id());
-            if (home.filter(settings.nodeName()::equals).isPresent() || h.owner().equals(settings.nodeName())) {
+            if (!edits.busy(h.id()) && (home.filter(settings.nodeName()::equals).isPresent() || h.owner().equals(settings.nodeName()))) {
                 hostDesk.take(h, Instant.EPOCH, r -> { });
             }
         }
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -13,9 +13,9 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.Function;
 import org.dunespindle.bookkeeping.Claim;
 import org.dunespindle.bookkeeping.JobRecord;
-import org.dunespindle.protocol.PieceId;
 import org.dunespindle.protocol.Resources;
 import org.dunespindle.protocol.Settings;
 import org.dunespindle.protocol.Submission;
@@ -36,9 +36,17 @@
      * @param ended tasks whose end is reported but not stored yet: their room is free, their team's use is not
      * @param leftAlone jobs that another controller is placing, or that wait for more: not booked here now
      * @param gangs whether gangs are planned here
+     * @param progress how long tasks have been under way, as far as known here
      */
     public record Snapshot(Instant now, List<JobRecord> jobs, List<Host> hosts, Map<String, Settings.Team> teams, Map<String, Place> whereabouts,
-            Set<Market> refused, int mostTasksPerJob, Set<PieceId> ended, Set<String> leftAlone, boolean gangs, List<JobRecord> phantoms, Map<String, List<Duration>> targets) {}
+            Set<Market> refused, int mostTasksPerJob, Set<Ended> ended, Set<String> leftAlone, boolean gangs, List<Headroom.Phantom> phantoms, Map<String, List<Duration>> targets,
+            Function<Started, Duration> progress) {}
+
+    /** A claim whose task has ended. */
+    public record Ended(String job, int task, long base) {}
+
+    /** Tasks of a job that were booked together. */
+    public record Started(String job, long base) {}
 
     /** Type, zone and kind, as the cloud rents them. */
     public record Market(String type, String zone, boolean spot) {}
@@ -129,8 +137,11 @@
 
     private static final class Work {
         private static final int MOST_COUNTED = 64;
-        private static final int FETCH_COST = 4;
-        private static final Duration LOST_CAUSE = Duration.ofDays(1);
+        /** What a fetch counts for, and how much of a task's work at most, when it is chosen who gives way. */
+        private static final Duration FETCH_COST = Duration.ofSeconds(20);
+        private static final Duration MOST_LOST = Duration.ofSeconds(120);
+        private static final int LOST_CAUSE = 1000;
+        private static final Duration BEGIN_WITHIN = Duration.ofSeconds(120);
         /** A gang that has waited so long for its team's limit is not overtaken by the team's later work any more. */
         private static final Duration OVERTAKEN_AT_MOST = Duration.ofSeconds(20);
         private final Snapshot s;
@@ -145,6 +156,8 @@
         private final Set<String> guaranteed;
         /** What unplaced tasks would add to their team's use; bounds renting, but keeps no other job from being placed. */
         private final Map<String, Resources> pending = new HashMap<>();
+        /** Array jobs that left no room which one more of their tasks would fit into; room only shrinks while arrays are planned. */
+        private final List<Submission> fullFor = new ArrayList<>();
         /** What a team's waiting gang needs of the limit, kept free of later work. */
         private final Map<String, Resources> reserved = new HashMap<>();
 
@@ -161,7 +174,7 @@
             for (JobRecord j : s.jobs()) {
                 for (Claim c : j.claims()) {
                     Slot slot = byId.get(c.host());
-                    if (slot == null || !s.ended().isEmpty() && s.ended().contains(new PieceId(j.id(), c.task()))) {
+                    if (slot == null || !s.ended().isEmpty() && s.ended().contains(new Ended(j.id(), c.task(), c.base()))) {
                         continue;
                     }
                     Resources one = j.job().perTask();
@@ -192,11 +205,16 @@
             });
             var ordered = new ArrayList<>(s.jobs());
             ordered.removeIf(j -> !j.open() || j.unplacedCount() == 0 || !s.gangs() && (j.job().gang() || s.leftAlone().contains(j.id())));
-            var urgency = new HashMap<String, Instant>();
-            ordered.forEach(j -> urgency.put(j.id(), urgency(j)));
+            var ranks = new HashMap<String, Rank>();
+            ordered.forEach(j -> ranks.put(j.id(), rank(j)));
             ordered.sort(Comparator.comparing((JobRecord j) -> j.job().priority(), Comparator.reverseOrder()).thenComparing(j -> !guaranteed.contains(j.id()))
-                    .thenComparing(j -> urgency.get(j.id())).thenComparing(JobRecord::id));
+                    .thenComparing(j -> ranks.get(j.id())).thenComparing(JobRecord::id));
+            var kept = new HashMap<String, Integer>();
             for (JobRecord j : ordered) {
+                if (!j.job().gang()) {
+                    // Room that gangs will need within seconds is not filled with lower work that would have to give way again.
+                    s.phantoms().stream().filter(p -> p.job().job().priority().compareTo(j.job().priority()) > 0).forEach(p -> kept.computeIfAbsent(p.job().id(), id -> reserve(p)));
+                }
                 if (j.notBefore().isPresent() && j.notBefore().get().isAfter(s.now())) {
                     reasons.put(j.id(), "its tasks fail or were refused; tried again at " + j.notBefore().get());
                 } else if (j.job().gang()) {
@@ -211,7 +229,7 @@
                     array(j);
                 }
             }
-            s.phantoms().forEach(this::spare);
+            s.phantoms().forEach(p -> spare(p.job(), kept.getOrDefault(p.job().id(), 0)));
             return new Plan(bookings, evictions, shortfalls, reasons, wanted, gangHosts);
         }
 
@@ -225,24 +243,38 @@
             return a.order() != b.order() ? a.order() < b.order() : a.id().compareTo(b.id()) < 0;
         }
 
+        /** Where a job stands among those of its priority: tier, then the lesser key. */
+        private record Rank(int tier, long key) implements Comparable<Rank> {
+            @Override
+            public int compareTo(Rank o) {
+                return tier != o.tier ? Integer.compare(tier, o.tier) : Long.compare(key, o.key);
+            }
+        }
+
         /**
-         * When an array's tasks should start at the latest: for its deadline, or for the nearest of its class's
-         * finishing times that it can still meet. Work that can meet none any more lets the others go first.
+         * Gangs go in the order they came. Arrays that can still meet the first time they are measured by go least work first,
+         * so that most of them meet it when not all can; then those that can meet a later one, then lost causes. One that
+         * has waited long without any task begun goes first: the largest must begin too.
          */
-        private Instant urgency(JobRecord j) {
+        private Rank rank(JobRecord j) {
             Submission job = j.job();
             if (job.gang()) {
-                return j.arrived();
+                return new Rank(0, j.arrived().toEpochMilli());
+            }
+            if (j.claims().isEmpty() && j.next() == 0 && Duration.between(j.arrived(), s.now()).compareTo(BEGIN_WITHIN) > 0) {
+                return new Rank(0, j.arrived().toEpochMilli());
             }
             List<Duration> ends = job.due().map(List::of).orElseGet(() -> s.targets().getOrDefault(job.jobClass(), List.of()));
             Duration atBest = job.estimate().multipliedBy(7).dividedBy(10);
+            long work = job.estimate().multipliedBy(j.unplacedCount()).toMillis();
+            int tier = 1;
             for (Duration end : ends) {
-                Instant due = j.arrived().plus(end);
-                if (!s.now().plus(atBest).isAfter(due)) {
-                    return due.minus(job.estimate());
+                if (!s.now().plus(atBest).isAfter(j.arrived().plus(end))) {
+                    return new Rank(tier, work);
                 }
+                tier++;
             }
-            return ends.isEmpty() ? j.arrived() : j.arrived().plus(LOST_CAUSE);
+            return ends.isEmpty() ? new Rank(1, work) : new Rank(LOST_CAUSE, j.arrived().toEpochMilli());
         }
 
         private boolean teamAllows(Submission job, int tasks) {
@@ -281,9 +313,11 @@
         /** Machines that the job may use, wherever its zone rules lead it. */
         private List<Slot> candidates(Submission job) {
             var list = new ArrayList<Slot>();
+            String zone = job.zone().orElse(null);
+            List<String> types = job.types().orElse(null);
             for (Slot slot : slots) {
                 Host h = slot.host;
-                if ((job.spot() || !h.spot()) && (job.zone().isEmpty() || job.zone().get().equals(h.zone())) && (job.types().isEmpty() || job.types().get().contains(h.type()))) {
+                if ((job.spot() || !h.spot()) && (zone == null || zone.equals(h.zone())) && (types == null || types.contains(h.type()))) {
                     list.add(slot);
                 }
             }
@@ -323,7 +357,8 @@
             var zones = new Zones(j);
             var order = j.unplaced(allowed).iterator();
             int left = allowed;
-            for (Slot slot : roomy(job, candidates(job), zones, false)) {
+            List<Slot> roomy = left == 0 || full(job) ? List.of() : roomy(job, candidates(job), zones, false);
+            for (Slot slot : roomy) {
                 while (left > 0 && job.perTask().fitsIn(slot.free) && zones.allows(slot.host)) {
                     int task = order.nextInt();
                     left--;
@@ -336,6 +371,9 @@
                     }
                 }
             }
+            if (left > 0) {
+                fullFor.add(job);
+            }
             if (!places.isEmpty() && !s.leftAlone().contains(j.id())) {
                 bookings.add(new Booking(j, places));
             }
@@ -347,11 +385,40 @@
             }
         }
 
-        /** Keeps or asks for room for a job that has not come yet; it is wanted, but nothing is booked or evicted. */
-        private void spare(JobRecord phantom) {
+        /** Whether an earlier job that asked for no more, and could go wherever this one can, already found no room left. */
+        private boolean full(Submission job) {
+            for (Submission f : fullFor) {
+                boolean asWide = (f.spot() || !job.spot()) && !f.sameZone() && !f.spread() && (f.zone().isEmpty() || f.zone().equals(job.zone()))
+                        && (f.types().isEmpty() || job.types().isPresent() && f.types().get().containsAll(job.types().get()));
+                if (asWide && f.perTask().fitsIn(job.perTask())) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** Keeps free room on machines that are up for what is likely to come within seconds; tells how many tasks' worth. */
+        private int reserve(Headroom.Phantom p) {
+            Submission job = p.job().job();
+            int left = p.soon();
+            if (left > 0) {
+                // Wherever it is: which zone the next job wants, or finds most room in, is not known.
+                for (Slot slot : roomy(job, candidates(job), new Zones(job), true)) {
+                    while (left > 0 && job.perTask().fitsIn(slot.free)) {
+                        slot.free = slot.free.minus(job.perTask());
+                        wanted.add(slot.host.id());
+                        left--;
+                    }
+                }
+            }
+            return p.soon() - left;
+        }
+
+        /** Keeps or asks for room for a typical job that has not come yet; it is wanted, but nothing is booked or evicted. */
+        private void spare(JobRecord phantom, int kept) {
             var zones = new Zones(phantom);
-            int missing = phantom.job().tasks();
-            for (Slot slot : roomy(phantom.job(), candidates(phantom.job()), zones, false)) {
+            int missing = phantom.job().tasks() - kept;
+            for (Slot slot : missing <= 0 ? List.<Slot>of() : roomy(phantom.job(), candidates(phantom.job()), zones, false)) {
                 while (missing > 0 && phantom.job().perTask().fitsIn(slot.free) && zones.allows(slot.host)) {
                     slot.free = slot.free.minus(phantom.job().perTask());
                     wanted.add(slot.host.id());
@@ -371,6 +438,13 @@
             private final Map<String, Integer> taken = new HashMap<>();
             private Optional<String> only;
 
+            /** Any zone that the job names, without regard to where its tasks are. */
+            Zones(Submission job) {
+                this.job = job;
+                most = Integer.MAX_VALUE;
+                only = job.zone();
+            }
+
             Zones(JobRecord j) {
                 job = j.job();
                 most = job.spread() ? (job.tasks() + 1) / 2 : Integer.MAX_VALUE;
@@ -406,7 +480,7 @@
                 return;
             }
             var zones = new Zones(j);
-            var candidates = candidates(job);
+            var candidates = withImages(j, candidates(job), zones, missing);
             var places = new LinkedHashMap<Integer, String>();
             var order = j.unplaced(missing).iterator();
             int left = fill(j, roomy(job, candidates, zones, true), zones, order, missing, places);
@@ -427,6 +501,22 @@
             }
         }
 
+        /**
+         * A gang starts with its last member, so one fetch delays them all: where machines that have the image can take all of
+         * it, if need be by lower work giving way, only those are looked at; otherwise it makes no difference who fetches.
+         */
+        private List<Slot> withImages(JobRecord j, List<Slot> candidates, Zones zones, int missing) {
+            var fetched = new ArrayList<Slot>();
+            int room = 0;
+            for (Slot slot : candidates) {
+                if (slot.host.up() && zones.allows(slot.host) && slot.host.images().contains(j.job().image())) {
+                    fetched.add(slot);
+                    room += room < missing ? fitCount(j.job().perTask(), withVictims(slot, j), missing) : 0;
+                }
+            }
+            return room >= missing && !j.job().spread() ? fetched : candidates;
+        }
+
         private int fill(JobRecord j, List<Slot> roomy, Zones zones, java.util.Iterator<Integer> order, int members, Map<Integer, String> places) {
             Submission job = j.job();
             int left = members;
@@ -456,9 +546,10 @@
                     room[2] += fits;
                     continue;
                 }
+                int freed = slot.victims.isEmpty() && slot.ending == Resources.NONE ? 0 : fitCount(job.perTask(), withVictims(slot, j), Math.min(MOST_COUNTED, missing)) - fits;
                 room[0] += fits;
-                room[1] += fitCount(job.perTask(), withVictims(slot, j), Math.min(MOST_COUNTED, missing)) - fits;
-                room[3] += slot.host.images().contains(job.image()) ? fits : 0;
+                room[1] += freed;
+                room[3] += slot.host.images().contains(job.image()) ? fits + freed : 0;
             }
             String best = null;
             double bestScore = 0;
@@ -467,7 +558,7 @@
                 int now = Math.min(missing, room[0]);
                 int freed = Math.min(missing - now, room[1]);
                 int soon = Math.min(missing - now - freed, room[2]);
-                double score = 3 * now + 2 * freed + soon + 0.2 * Math.min(missing, room[3]);
+                double score = 3 * now + 2 * freed + soon + (room[3] >= missing ? 1.5 : 0.1) * Math.min(missing, room[3]);
                 for (Market m : s.refused()) {
                     score -= m.zone().equals(e.getKey()) && !m.spot() ? 0.5 * (missing - now - freed - soon) + 0.1 : 0;
                 }
@@ -497,10 +588,13 @@
             return v.job().job().priority().compareTo(j.job().priority()) < 0;
         }
 
-        private record Way(Slot slot, List<Victim> victims, int cost) {}
+        private record Way(Slot slot, List<Victim> victims, long cost) {}
 
         /** How one member finds room on a machine; empty if no lower work there makes any. */
-        private static Optional<Way> way(JobRecord j, Slot slot) {
+        private Optional<Way> way(JobRecord j, Slot slot) {
+            if (slot.victims.isEmpty() && slot.ending == Resources.NONE) {
+                return Optional.empty();
+            }
             Resources one = j.job().perTask();
             Resources free = slot.free.plus(slot.ending);
             var chosen = new ArrayList<Victim>(2);
@@ -517,13 +611,23 @@
                 return Optional.empty();
             }
             // Tasks already being stopped cost nothing more; a second machine must not be emptied beside them.
-            int cost = chosen.isEmpty() ? -1 : chosen.size() + (slot.host.images().contains(j.job().image()) ? 0 : FETCH_COST);
+            long cost = chosen.isEmpty() ? -1 : slot.host.images().contains(j.job().image()) ? 0 : FETCH_COST.toMillis();
+            for (Victim v : chosen) {
+                cost += 1000 + lost(v).toMillis();
+            }
             return Optional.of(new Way(slot, chosen, cost));
         }
 
-        /** Makes room where the fewest lower tasks have to give way; a fetch counts as some more of them. */
+        /** The work that stopping a task throws away: what it did since it started, or since it last saved. */
+        private Duration lost(Victim v) {
+            Duration done = s.progress().apply(new Started(v.job().id(), v.claim().base()));
+            Duration kept = v.job().job().saves() ? v.job().job().checkpointEvery() : MOST_LOST;
+            return done.compareTo(kept) > 0 ? kept : done;
+        }
+
+        /** Makes room where lower tasks lose least by giving way; a fetch counts as some more loss. */
         private int evict(JobRecord j, List<Slot> candidates, Zones zones, int members) {
-            var ways = new PriorityQueue<Way>(Comparator.comparingInt(Way::cost).thenComparing(w -> w.slot.host.id()));
+            var ways = new PriorityQueue<Way>(Comparator.comparingLong(Way::cost).thenComparing(w -> w.slot.host.id()));
             for (Slot slot : candidates) {
                 if (slot.host.up() && zones.allows(slot.host)) {
                     way(j, slot).ifPresent(ways::add);
--- a/src/main/java/org/dunespindle/coordination/Reconciler.java
+++ b/src/main/java/org/dunespindle/coordination/Reconciler.java
@@ -29,8 +29,11 @@
     /** What became of a claim. */
     public enum Fate { DONE, GONE, ERROR, WAITED_IN_VAIN, REFUSED }
 
-    /** A claim's fate, to be recorded before the worker may forget the task. */
-    public record Event(String job, int task, Fate fate, String why) {}
+    /**
+     * A claim's fate, to be recorded before the worker may forget the task. It names the claim by its base too: by the time it
+     * is recorded the task may have been booked again, and must not be taken for ended then.
+     */
+    public record Event(String job, int task, long base, Fate fate, String why) {}
 
     /** The outcome for one machine. */
     public record Verdict(List<Order> orders, List<Event> events) {}
@@ -73,7 +76,7 @@
         }
         if (own != null && own.exited()) {
             if (!othersLive) {
-                events.add(new Event(job.id(), id.index(), fate(own, job, p), why(own)));
+                events.add(new Event(job.id(), id.index(), p.claim().base(), fate(own, job, p), why(own)));
             }
         } else if (own != null) {
             if (stop && own.phase() != TaskPhase.SAVING) {
@@ -83,7 +86,7 @@
             }
         } else if (!othersLive) {
             if (stop) {
-                events.add(new Event(job.id(), id.index(), Fate.GONE, "released"));
+                events.add(new Event(job.id(), id.index(), p.claim().base(), Fate.GONE, "released"));
             } else {
                 orders.add(new Order.Run(id, wanted));
             }
--- a/src/main/java/org/dunespindle/protocol/Pack.java
+++ b/src/main/java/org/dunespindle/protocol/Pack.java
@@ -1,38 +1,44 @@
 package org.dunespindle.protocol;
 
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.StreamReadConstraints;
-import com.fasterxml.jackson.core.io.JsonEOFException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.BigIntegerNode;
+import com.fasterxml.jackson.databind.node.BooleanNode;
+import com.fasterxml.jackson.databind.node.DoubleNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.LongNode;
+import com.fasterxml.jackson.databind.node.NullNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.TextNode;
 import java.io.IOException;
+import org.msgpack.core.MessageFormat;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** Bodies outside the service: MessagePack to and from trees. */
 public final class Pack {
     public static final String TYPE = "application/msgpack";
-    private static final ObjectMapper MAPPER = mapper();
+    private static final int DEEPEST = 32;
+    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private Pack() {}
 
-    private static ObjectMapper mapper() {
-        var factory = new MessagePackFactory();
-        factory.setStreamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(32).build());
-        return new ObjectMapper(factory);
-    }
 
     public static ObjectNode map() {
         return JsonNodeFactory.instance.objectNode();
     }
 
-    /** Reads one whole value; anything behind it makes the body malformed. */
+    /**
+     * Reads one whole value; anything behind it makes the body malformed. The library's own unpacker builds the tree:
+     * Jackson's parser on top of it tells the end of input by an exception, which costs more than most messages.
+     */
     public static JsonNode read(byte[] body) throws MalformedException {
-        try (JsonParser parser = MAPPER.getFactory().createParser(body)) {
-            JsonNode node = MAPPER.readTree(parser);
-            if (node == null || node.isMissingNode() || !atEnd(parser)) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
+            JsonNode node = value(unpacker, 0);
+            if (unpacker.hasNext()) {
                 throw new MalformedException("the body is not one MessagePack value");
             }
             return node;
@@ -41,12 +47,45 @@
         }
     }
 
-    /** The MessagePack parser tells the end of input by an exception. */
-    private static boolean atEnd(JsonParser parser) throws IOException {
-        try {
-            return parser.nextToken() == null;
-        } catch (JsonEOFException e) {
-            return true;
+    private static JsonNode value(MessageUnpacker in, int depth) throws IOException, MalformedException {
+        if (depth > DEEPEST) {
+            throw new MalformedException("the body is nested too deeply");
+        }
+        MessageFormat format = in.getNextFormat();
+        switch (format.getValueType()) {
+            case NIL -> {
+                in.unpackNil();
+                return NullNode.instance;
+            }
+            case BOOLEAN -> {
+                return BooleanNode.valueOf(in.unpackBoolean());
+            }
+            case INTEGER -> {
+                return format == MessageFormat.UINT64 ? BigIntegerNode.valueOf(in.unpackBigInteger()) : LongNode.valueOf(in.unpackLong());
+            }
+            case FLOAT -> {
+                return DoubleNode.valueOf(in.unpackDouble());
+            }
+            case STRING -> {
+                return TextNode.valueOf(in.unpackString());
+            }
+            case ARRAY -> {
+                int size = in.unpackArrayHeader();
+                ArrayNode list = JsonNodeFactory.instance.arrayNode();
+                for (int i = 0; i < size; i++) {
+                    list.add(value(in, depth + 1));
+                }
+                return list;
+            }
+            case MAP -> {
+                int size = in.unpackMapHeader();
+                ObjectNode map = map();
+                for (int i = 0; i < size; i++) {
+                    map.set(in.unpackString(), value(in, depth + 1));
+                }
+                return map;
+            }
+            default -> throw new MalformedException("the body holds binary data");
         }
     }
 
--- a/src/main/java/org/dunespindle/protocol/Settings.java
+++ b/src/main/java/org/dunespindle/protocol/Settings.java
@@ -14,7 +14,9 @@
 
 /** The platform's settings file, checked. Unknown settings are ignored. */
 public record Settings(String nodeName, String zone, InetSocketAddress front, InetSocketAddress peerListen, List<Seed> seeds, String cloudAddress,
-        String stateAddress, List<String> zones, Map<String, Team> teams, List<Objective> objectives, Workers workers, State state, Cloud cloud) {
+        String stateAddress, List<String> zones, Map<String, Team> teams, List<Objective> objectives, Workers workers, State state, Cloud cloud, int sockets) {
+
+    private static final int DEFAULT_SOCKETS = 1024;
 
     /** Another controller. */
     public record Seed(String name, String zone, String address) {}
@@ -89,7 +91,8 @@
         socket("outside.cloud", cloudAddress);
         socket("outside.state", stateAddress);
         return new Settings(text(root, "", "node_name"), root.path("area").asText(""), socket("front", text(root, "", "front")), socket("peer_listen", text(root, "", "peer_listen")),
-                List.copyOf(seeds), cloudAddress, stateAddress, List.copyOf(zones), Map.copyOf(teams), List.copyOf(objectives), workers, state, cloud);
+                List.copyOf(seeds), cloudAddress, stateAddress, List.copyOf(zones), Map.copyOf(teams), List.copyOf(objectives), workers, state, cloud,
+                d.path("resources").path("fd_limit").asInt(DEFAULT_SOCKETS));
     }
 
     private static double limit(double value) {
--- a/src/main/java/org/dunespindle/transport/HttpCaller.java
+++ b/src/main/java/org/dunespindle/transport/HttpCaller.java
@@ -22,8 +22,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.LinkedHashMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -31,11 +30,20 @@
 public final class HttpCaller implements Caller {
     private static final int ANSWER_LIMIT = 8 << 20;
     private static final int KEPT_PER_ADDRESS = 3;
+    private final int mostKept;
     private final EventLoop loop;
     private final Bootstrap bootstrap;
-    private final Map<String, ArrayDeque<Channel>> kept = new HashMap<>();
+    /** Idle connections by address, the longest unused address first. */
+    private final LinkedHashMap<String, ArrayDeque<Channel>> kept = new LinkedHashMap<>(16, 0.75f, true);
+    private int idleCount;
 
-    public HttpCaller(EventLoop loop) {
+    /**
+     * A caller on one event loop.
+     *
+     * @param mostKept idle connections kept at most; there may be more workers than sockets
+     */
+    public HttpCaller(EventLoop loop, int mostKept) {
+        this.mostKept = mostKept;
         this.loop = loop;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
@@ -53,6 +61,7 @@
         ArrayDeque<Channel> idle = kept.getOrDefault(address, new ArrayDeque<>());
         Channel channel;
         while ((channel = idle.pollLast()) != null) {
+            idleCount--;
             if (channel.isActive()) {
                 pending.start(channel);
                 return pending.result;
@@ -78,6 +87,21 @@
         return pending.result;
     }
 
+    /** Closes what has not been used for longest. */
+    private void trim() {
+        var oldest = kept.values().iterator();
+        while (idleCount > mostKept && oldest.hasNext()) {
+            ArrayDeque<Channel> idle = oldest.next();
+            while (!idle.isEmpty() && idleCount > mostKept) {
+                idle.pollFirst().close();
+                idleCount--;
+            }
+            if (idle.isEmpty()) {
+                oldest.remove();
+            }
+        }
+    }
+
     private static DefaultFullHttpRequest request(String address, String method, String target, byte[] body, String contentType) {
         var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target, Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST, address);
@@ -119,6 +143,8 @@
             ArrayDeque<Channel> idle = kept.computeIfAbsent(address, a -> new ArrayDeque<>());
             if (keep && idle.size() < KEPT_PER_ADDRESS) {
                 idle.addLast(channel);
+                idleCount++;
+                trim();
             } else {
                 channel.close();
             }
