What would only queue is decided later; tasks give way without a write first

Ruled out: processor time (plans at 50 to 70 ms). Change: placements, outcomes and returns are not proposed while others wait, so the next ones carry more; a task that gives way is stopped at once and only its end is stored.

--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -60,6 +60,7 @@
     private final Membership membership;
     private final Committer committer;
     private final Sessions sessions = new Sessions();
+    private final Stops stops = new Stops();
     private final MachineEdits edits;
     private final HostDesk hostDesk;
     private final Peers peers;
@@ -109,14 +110,14 @@
         this.membership = new Membership(settings.nodeName(), state, replica, timeline);
         this.committer = new Committer(state, replica, timeline, settings.state().txnOps(), this::wake);
         this.edits = new MachineEdits(replica, committer, timeline);
-        this.hostDesk = new HostDesk(settings, replica, membership, edits, http, timeline, sessions, decisions, this::cutOff, this::wake);
+        this.hostDesk = new HostDesk(settings, replica, membership, edits, http, timeline, sessions, decisions, stops, this::cutOff, this::wake);
         this.peers = new Peers(settings, http, timeline, membership::incarnation, membership::leader, (host, image) -> sessions.of(host).fetched(image));
         this.writeShare = new WriteShare(settings, peers, membership, committer, state, timeline);
         this.cloud = new CloudClient(http, settings, timeline);
         this.fleet = new Fleet(settings, replica, membership, edits, hostDesk, cloud, timeline, sessions, peers, decisions, targets, this::options, () -> catalog);
         this.ownership = new Ownership(settings, replica, membership, hostDesk, edits, peers, sessions, timeline, this::options);
         this.outcomes = new Outcomes(settings, replica, membership, committer, hostDesk, sessions, timeline, decisions);
-        this.placements = new Placements(settings, replica, membership, committer, edits, outcomes, timeline, decisions, this::takesTasks);
+        this.placements = new Placements(settings, replica, membership, committer, edits, outcomes, stops, hostDesk, timeline, decisions, this::takesTasks);
         this.gangs = new Gangs(settings, replica, committer, hostDesk, sessions, timeline, decisions, this::options);
         this.admin = new Admin(settings, replica, membership, committer, edits, decisions, this, new TreeMap<>(Map.of("decisionRound", rounds, "plan", plans, "stateCall", state.latency(),
                 "cloudCall", cloud.latency(), "holdPlacement", gangs.holdPlacement(), "replacement", gangs.replacement(), "accept", accepts)));
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -33,7 +33,7 @@
     private static final Duration NO_CAPACITY_PAUSE = Duration.ofSeconds(6);
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(25);
     private static final Duration RETRY = Duration.ofMillis(700);
-    private static final Duration REMEMBER_GONE = Duration.ofSeconds(90);
+    private static final Duration REMEMBER_GONE = Duration.ofSeconds(300);
     private static final Duration TELL_EVERY = Duration.ofSeconds(10);
     private static final Duration EARLY = Duration.ofSeconds(15);
     private static final Duration FETCH_ALLOWANCE = Duration.ofSeconds(12);
@@ -155,7 +155,7 @@
             // While no machine is known at all this is the first leader ever, and what the list names is there.
             firstOfAll = replica.hosts().isEmpty();
         }
-        goneAt.values().removeIf(t -> now.minus(t).compareTo(REMEMBER_GONE) > 0);
+        goneAt.entrySet().removeIf(e -> now.minus(e.getValue()).compareTo(REMEMBER_GONE) > 0 && !replica.hosts().containsKey(e.getKey()));
         list(now);
         if (now.compareTo(judgeAgainAt) >= 0) {
             judgeAgainAt = now.plus(JUDGE_EVERY);
@@ -234,7 +234,7 @@
 
     private void removeGone() {
         for (HostRecord h : List.copyOf(replica.hosts().values())) {
-            if (isGone(h.id()) && replica.claimsOn(h.id()).isEmpty() && !edits.busy(h.id())) {
+            if (isGone(h.id()) && replica.claimsOn(h.id()).isEmpty() && !edits.busy(h.id()) && !edits.crowded()) {
                 edits.remove(h.id(), r -> {
                     if (r instanceof TxnResult.Applied) {
                         sessions.drop(h.id());
@@ -286,7 +286,7 @@
             } else {
                 idleSince.putIfAbsent(h.id(), now);
             }
-            whyLeave(h, now).ifPresent(why -> leave(h, why));
+            whyLeave(h, now).filter(why -> !why.equals(HostRecord.IDLE) || !edits.crowded()).ifPresent(why -> leave(h, why));
         }
     }
 
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -59,6 +59,7 @@
     private final Timeline timeline;
     private final Sessions sessions;
     private final Decisions decisions;
+    private final Stops stops;
     private final BooleanSupplier cutOff;
     private final Runnable changed;
     /** Views older than this no longer entitle: a cancellation told elsewhere may be unknown here. */
@@ -70,7 +71,7 @@
     private long calls;
 
     public HostDesk(Settings settings, Replica replica, Membership membership, MachineEdits edits, Caller http, Timeline timeline, Sessions sessions, Decisions decisions,
-            BooleanSupplier cutOff, Runnable changed) {
+            Stops stops, BooleanSupplier cutOff, Runnable changed) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
@@ -79,6 +80,7 @@
         this.timeline = timeline;
         this.sessions = sessions;
         this.decisions = decisions;
+        this.stops = stops;
         this.cutOff = cutOff;
         this.changed = changed;
         Duration spare = settings.workers().cancel().minus(settings.workers().lease()).minus(Duration.ofSeconds(4));
@@ -145,7 +147,7 @@
     private void answerOwned(WorkerReport r, HostRecord record, Sessions.Session session, boolean newer, BiConsumer<Integer, ObjectNode> answer) {
         // Halts ride along for a worker that reaches this controller but cannot be reached, and forgetting has time; starts never ride.
         boolean proof = newer && r.token() == record.token() && session.unansweredUnder.isEmpty() && !session.calling && replica.syncedTo() >= replica.stamp(Keys.host(r.host()));
-        List<Order> orders = !proof ? List.of() : keepExits(record, session, Reconciler.judge(replica.claimsOn(r.host()), r).orders()).stream()
+        List<Order> orders = !proof ? List.of() : keepExits(record, session, Reconciler.judge(stops.marked(r.host(), replica.claimsOn(r.host())), r).orders()).stream()
                 .filter(o -> !(o instanceof Order.Run)).limit(ORDERS_AT_ONCE).toList();
         answer.accept(200, Order.reply(record.token(), orders));
     }
@@ -343,7 +345,7 @@
 
     private void conclude(HostRecord record, Sessions.Session s) {
         WorkerReport report = s.report.get();
-        Reconciler.Verdict v = Reconciler.judge(replica.claimsOn(record.id()), report);
+        Reconciler.Verdict v = Reconciler.judge(stops.marked(record.id(), replica.claimsOn(record.id())), report);
         report.tasks().forEach(t -> {
             if (t.phase() == TaskPhase.RUNNING || t.phase() == TaskPhase.ASSEMBLING) {
                 replica.job(t.task().job()).flatMap(j -> j.spec()).ifPresent(spec -> s.fetched(spec.image()));
--- a/src/main/java/org/dunespindle/coordination/MachineEdits.java
+++ b/src/main/java/org/dunespindle/coordination/MachineEdits.java
@@ -22,6 +22,7 @@
  * all of it is dropped and decided anew.
  */
 public final class MachineEdits {
+    private static final int MOST_WAITING = 6;
     private static final Duration GATHER = Duration.ofMillis(2);
     private final Replica replica;
     private final Committer committer;
@@ -52,6 +53,11 @@
         return committer.isLocked(key) || open.containsKey(key) && open.get(key).changes.containsKey(host);
     }
 
+    /** Whether what can wait would only queue now, and lock pages meanwhile. */
+    public boolean crowded() {
+        return committer.waiting() >= MOST_WAITING;
+    }
+
     /** Writes a machine's new record. */
     public void change(Committer.Lane lane, HostRecord to, Consumer<TxnResult> then) {
         edit(lane, to.id(), Optional.of(to), then);
--- a/src/main/java/org/dunespindle/coordination/Outcomes.java
+++ b/src/main/java/org/dunespindle/coordination/Outcomes.java
@@ -33,6 +33,7 @@
     /** While the team is close to its limit, which counts tasks until their end is stored. */
     private static final Duration GATHER_TIGHT = Duration.ofMillis(1500);
     private static final Duration LOOK_AT_TEAMS_EVERY = Duration.ofSeconds(1);
+    private static final int MOST_WAITING = 6;
     private static final double TIGHT = 0.75;
     private static final int OTHER_GUARDS = 6;
     private final Replica replica;
@@ -99,7 +100,7 @@
     }
 
     private boolean due(JobRecord j, List<Seen> seen) {
-        if (j.spec().isEmpty() || !j.open() || j.job().gang() || seen.stream().anyMatch(s -> s.event.fate() != Reconciler.Fate.DONE)) {
+        if (j.spec().isEmpty() || !j.open() || j.job().gang() || seen.stream().anyMatch(s -> s.event.fate() != Reconciler.Fate.DONE && timeline.now().minus(s.since).compareTo(GATHER_LAST) >= 0)) {
             return true;
         }
         boolean last = false;
@@ -122,7 +123,10 @@
             return;
         }
         String key = Keys.job(j.id());
-        boolean hurry = !after.open() || after.job().gang() || after.unplacedCount() > j.unplacedCount();
+        boolean hurry = !after.open() || after.job().gang();
+        if (!hurry && committer.waiting() >= MOST_WAITING) {
+            return; // it would lock the record for long; the job's next placement takes it along
+        }
         committer.propose(hurry ? Committer.Lane.PLACING : Committer.Lane.KEEPING, txn.guard(key, replica.stamp(key)).write(key, after.toNode()), r -> {
             if (r instanceof TxnResult.Applied) {
                 events.forEach(e -> tell(j, e));
--- a/src/main/java/org/dunespindle/coordination/Ownership.java
+++ b/src/main/java/org/dunespindle/coordination/Ownership.java
@@ -101,7 +101,7 @@
 
     private void handOver(HostRecord h, Duration now) {
         Optional<String> home = membership.hashed(h.id());
-        if (home.isEmpty() || home.get().equals(settings.nodeName()) || edits.busy(h.id())) {
+        if (home.isEmpty() || home.get().equals(settings.nodeName()) || edits.busy(h.id()) || edits.crowded()) {
             return;
         }
         Duration kept = membership.leads() ? options.get().lentAtLeast() : Duration.ZERO;
--- a/src/main/java/org/dunespindle/coordination/Placements.java
+++ b/src/main/java/org/dunespindle/coordination/Placements.java
@@ -28,6 +28,8 @@
     /** Stopping tasks splits groups of claims, so a record is not filled to the brim by placing. */
     private static final double FILLED_BY_PLACING = 0.7;
     private static final int OTHER_GUARDS = 3;
+    private static final int MOST_WAITING = 8;
+    private static final int MOST_WAITING_GANGS = 24;
     private final Settings settings;
     private final Replica replica;
     private final Membership membership;
@@ -37,6 +39,8 @@
     private final Timeline timeline;
     private final Decisions decisions;
     private final Predicate<HostRecord> takesTasks;
+    private final Stops stops;
+    private final HostDesk hostDesk;
     /** Records proposed but not stored yet: their room is taken, or another job would be booked on it too. */
     private final Map<String, JobRecord> proposed = new HashMap<>();
     private final Map<String, Spending> spending = new HashMap<>();
@@ -52,14 +56,16 @@
         }
     }
 
-    Placements(Settings settings, Replica replica, Membership membership, Committer committer, MachineEdits edits, Outcomes outcomes, Timeline timeline, Decisions decisions,
-            Predicate<HostRecord> takesTasks) {
+    Placements(Settings settings, Replica replica, Membership membership, Committer committer, MachineEdits edits, Outcomes outcomes, Stops stops, HostDesk hostDesk, Timeline timeline,
+            Decisions decisions, Predicate<HostRecord> takesTasks) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
         this.committer = committer;
         this.edits = edits;
         this.outcomes = outcomes;
+        this.stops = stops;
+        this.hostDesk = hostDesk;
         this.timeline = timeline;
         this.decisions = decisions;
         this.takesTasks = takesTasks;
@@ -67,13 +73,17 @@
 
     /** A job as it will be once what is proposed for it is stored. */
     JobRecord ahead(JobRecord job) {
-        return proposed.getOrDefault(job.id(), job);
+        return stops.marked(proposed.getOrDefault(job.id(), job));
     }
 
     /** One transaction per booking, guarded by the job, its machines and its team's ledger. */
     void place(Planner.Plan plan) {
         Map<String, Resources> use = null;
         for (Planner.Booking b : plan.bookings()) {
+            // What would only queue is decided anew later, for more tasks at once: so batches widen with the load.
+            if (committer.waiting() >= (b.job().job().gang() ? MOST_WAITING_GANGS : MOST_WAITING)) {
+                return;
+            }
             if (committer.isLocked(Keys.job(b.job().id())) || committer.isLocked(Keys.team(b.job().job().team()))) {
                 continue;
             }
@@ -169,17 +179,14 @@
 
     /** Stops the tasks that give way, once their machine is borrowed: its owner would fill the room with other work at once. */
     void evict(Planner.Plan plan) {
-        var victims = new LinkedHashMap<String, JobRecord>();
+        stops.prune(replica);
         for (Planner.Eviction e : plan.evictions()) {
             HostRecord h = replica.hosts().get(e.claim().host());
-            if (h != null && membership.owns(h) && !committer.isLocked(Keys.job(e.victim().id()))) {
-                victims.merge(e.victim().id(), e.victim().stopTask(e.claim().task()), (a, b) -> a.stopTask(e.claim().task()));
+            if (h != null && membership.owns(h) && !e.claim().stopping()) {
+                stops.add(Stops.of(e.victim(), e.claim()), h.id());
+                hostDesk.attend(h.id());
                 decisions.tell(LOG, "task {}/{} on {} gives way to {}", e.victim().id(), e.claim().task(), e.claim().host(), e.forJob());
             }
         }
-        victims.forEach((id, changed) -> {
-            String key = Keys.job(id);
-            propose(new Txn().guard(Keys.LEADER, replica.stamp(Keys.LEADER)).guard(key, replica.stamp(key)).write(key, changed.toNode()), id, changed, r -> { });
-        });
     }
 }
