Idle limits by fleet size, silent machines asked seldom, over-long bodies answered for sure

Cause looked at: 100 to 200 machines idle at any time and up to 2000 sockets during a zone's cut, when hundreds of calls to silent machines hang. Idle limits now shrink with the square root of the fleet; a silent machine is asked every 6 s, and at once when it reports. A refused over-long body no longer resets the connection before its answer is read (seen once in the tests under load).

--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -42,6 +42,8 @@
     private static final Duration SURE_OF_LIST = Duration.ofSeconds(2);
     private static final Duration JUDGE_EVERY = Duration.ofMillis(900);
     private static final int FEWEST_FOR_CUT = 4;
+    private static final int SMALL_FLEET = 30;
+    private static final Duration LEAST_IDLE = Duration.ofSeconds(8);
     private static final int MOST_SLOTS = 128;
     private static final int MOST_RETURNED = 100;
     private static final int MOST_RENTED = 50;
@@ -320,7 +322,15 @@
             return Optional.of("it reports but takes no commands");
         }
         Duration idle = now.minus(idleSince.getOrDefault(h.id(), now));
-        return idle.compareTo(options.get().idleBeforeReturn(h.spot())) > 0 ? Optional.of(HostRecord.IDLE) : Optional.empty();
+        return idle.compareTo(idleLimit(h.spot())) > 0 ? Optional.of(HostRecord.IDLE) : Optional.empty();
+    }
+
+    /** The more machines there are, the sooner another one is free for the next job, and the less each has to wait for it. */
+    private Duration idleLimit(boolean spot) {
+        Duration set = options.get().idleBeforeReturn(spot);
+        double part = Math.sqrt((double) SMALL_FLEET / Math.max(SMALL_FLEET, replica.hosts().size()));
+        Duration limit = Duration.ofMillis((long) (set.toMillis() * part));
+        return limit.compareTo(LEAST_IDLE) > 0 ? limit : set.compareTo(LEAST_IDLE) > 0 ? LEAST_IDLE : set;
     }
 
     private static Duration later(Duration a, Duration b) {
@@ -399,13 +409,16 @@
     /** Packs what found no room into machines of the cheapest kinds that may serve it. */
     private Map<Planner.Market, Need> needs(Planner.Plan plan) {
         var needs = new LinkedHashMap<Planner.Market, Need>();
+        var perZone = new HashMap<String, Integer>();
+        replica.hosts().values().forEach(h -> perZone.merge(h.zone(), 1, Integer::sum));
+        var slots = new HashMap<Ask, Integer>();
         Duration queued = runningWork();
         for (Planner.Shortfall gap : plan.shortfalls()) {
             var job = gap.job().job();
-            List<Planner.Market> markets = markets(gap);
+            List<Planner.Market> markets = markets(gap, perZone);
             if (!job.gang()) {
                 queued = queued.plus(job.estimate().multipliedBy(gap.tasks()));
-                keepCheapestIfInTime(gap, markets, queued);
+                keepCheapestIfInTime(gap, markets, queued, slots);
             }
             Optional<Planner.Market> market = markets.stream().filter(x -> gap.zone().isEmpty() || gap.zone().get().equals(x.zone())).findFirst();
             if (market.isEmpty()) {
@@ -440,16 +453,14 @@
     }
 
     /** Work that ends in time even if it queues for the cheapest kind is not worth a dear machine. */
-    private void keepCheapestIfInTime(Planner.Shortfall gap, List<Planner.Market> markets, Duration queued) {
+    private void keepCheapestIfInTime(Planner.Shortfall gap, List<Planner.Market> markets, Duration queued, Map<Ask, Integer> known) {
         var job = gap.job().job();
         Optional<Duration> target = targets.nearest(job);
-        int slots = 0;
-        for (HostRecord h : replica.hosts().values()) {
-            if (h.spot() == job.spot() && !h.leaving() && job.types().map(t -> t.contains(h.type())).orElse(true)) {
-                slots += fits(job.perTask(), h.type());
-            }
+        if (target.isEmpty()) {
+            return;
         }
-        if (target.isEmpty() || slots == 0) {
+        int slots = known.computeIfAbsent(new Ask(job.spot(), job.perTask(), job.types()), this::slots);
+        if (slots == 0) {
             return;
         }
         Duration end = Duration.between(gap.job().arrived(), timeline.wallTime()).plus(queued.dividedBy(slots)).plus(job.estimate().multipliedBy(4).dividedBy(3)).plus(FETCH_ALLOWANCE);
@@ -459,6 +470,21 @@
         }
     }
 
+    /** What jobs alike ask of a machine. */
+    private record Ask(boolean spot, Resources perTask, Optional<List<String>> types) {}
+
+    /** Tasks that fit on all machines of the cheapest kind that the job may use. */
+    private int slots(Ask ask) {
+        var perType = new HashMap<String, Integer>();
+        int slots = 0;
+        for (HostRecord h : replica.hosts().values()) {
+            if (h.spot() == ask.spot && !h.leaving() && (ask.types.isEmpty() || ask.types.get().contains(h.type()))) {
+                slots += perType.computeIfAbsent(h.type(), t -> fits(ask.perTask, t));
+            }
+        }
+        return slots;
+    }
+
     private int fits(Resources one, String typeName) {
         return Planner.fitCount(one, known(typeName).map(MachineType::size).orElse(Resources.NONE), MOST_SLOTS);
     }
@@ -472,11 +498,9 @@
     }
 
     /** Allowed markets that were not refused lately, cheapest first, then the zone with fewest machines. */
-    private List<Planner.Market> markets(Planner.Shortfall gap) {
+    private List<Planner.Market> markets(Planner.Shortfall gap, Map<String, Integer> perZone) {
         var job = gap.job().job();
         Set<Planner.Market> refused = refused();
-        var perZone = new HashMap<String, Integer>();
-        replica.hosts().values().forEach(h -> perZone.merge(h.zone(), 1, Integer::sum));
         var list = new ArrayList<Planner.Market>();
         for (MachineType t : catalog.get().orElse(List.of())) {
             if (!job.types().map(a -> a.contains(t.name())).orElse(true) || !job.perTask().fitsIn(t.size())) {
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -40,6 +40,7 @@
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(2500);
     private static final Duration INSPECT_TIMEOUT = Duration.ofMillis(1500);
     private static final Duration CALL_PAUSE = Duration.ofMillis(1000);
+    private static final Duration SILENT_PAUSE = Duration.ofSeconds(6);
     private static final Duration REFUSED_PAUSE = Duration.ofMillis(200);
     private static final Duration KEEP = Duration.ofSeconds(40);
     private static final Duration STRAY_GAP = Duration.ofMillis(700);
@@ -121,6 +122,10 @@
             return;
         }
         HostRecord record = replica.hosts().get(r.host());
+        if (newer && session.unprovenSince.isPresent() && session.callAgainAt.compareTo(timeline.now()) > 0) {
+            session.callAgainAt = timeline.now().plus(REFUSED_PAUSE);
+            due.add(r.host());
+        }
         if (cutOff.getAsBoolean()) {
             answerCutOff(r, record, session, answer);
         } else if (record == null) {
@@ -480,7 +485,9 @@
                 if (starts && sent && (a == null || a.status() >= 500)) {
                     unanswered(record, s, token);
                 }
-                pause(record.id(), s, CALL_PAUSE);
+                // A silent machine is asked seldom: in a cut there are hundreds, and each attempt holds a socket. Its next report ends the pause.
+                boolean silent = s.heardAt.filter(t -> timeline.now().minus(t).compareTo(settings.workers().report().multipliedBy(2)) < 0).isEmpty();
+                pause(record.id(), s, silent ? SILENT_PAUSE : CALL_PAUSE);
             }
         });
     }
--- a/src/main/java/org/dunespindle/coordination/Options.java
+++ b/src/main/java/org/dunespindle/coordination/Options.java
@@ -34,7 +34,7 @@
         Duration silent = lease.compareTo(LONGEST_SILENCE) > 0 ? LONGEST_SILENCE : lease;
         var k = new LinkedHashMap<String, Kind>();
         k.put("first_hold_timer_s", new Kind(5, 3600, false, 60, "how long a gang's placement may take from its first placeholder on"));
-        k.put("idle_return_s", new Kind(0, 86_400, false, 25, "how long an ordinary machine may idle before it is given back"));
+        k.put("idle_return_s", new Kind(0, 86_400, false, 25, "how long an ordinary machine may idle before it is given back, in a fleet of up to 30; less in a larger one, by the square root of its size, down to 8 s"));
         k.put("idle_spot_return_s", new Kind(0, 86_400, false, 60, "the same for spot machines"));
         k.put("silent_return_s", new Kind(3, 3600, false, silent.toSeconds(), "silence after which a machine is given back and its tasks start elsewhere"));
         k.put("quarantine_errors", new Kind(1, 100, true, 2, "failures in a row, of different jobs, after which a machine is given back"));
--- a/src/main/java/org/dunespindle/transport/HttpListener.java
+++ b/src/main/java/org/dunespindle/transport/HttpListener.java
@@ -23,7 +23,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import org.slf4j.Logger;
@@ -33,6 +35,8 @@
 public final class HttpListener {
     private static final Logger LOG = LoggerFactory.getLogger(HttpListener.class);
 
+    private static final Duration LINGER = Duration.ofSeconds(2);
+
     /** Answers a request now or later, exactly once, on the event loop. */
     @FunctionalInterface
     public interface Handler {
@@ -81,7 +85,8 @@
 
         @Override
         protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            ctx.writeAndFlush(response(refusal.apply(413), false)).addListener(ChannelFutureListener.CLOSE);
+            // Closing while the rest still arrives would reset the connection, and the peer might never read the answer.
+            ctx.writeAndFlush(response(refusal.apply(413), false)).addListener(sent -> ctx.executor().schedule(() -> ctx.close(), LINGER.toMillis(), TimeUnit.MILLISECONDS));
         }
     }
 
