A machine's old owner no longer keeps it alive; pages are taken by one controller

News now carry the token and hold only under it (PeersTest). Now a page is taken as a whole, by the leader if a gang is on it, and those back first leave the others' pages to them for up to 4 s.

--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -237,7 +237,7 @@
                 s.get().toldAs = ++newsNumber;
             }
             String address = s.get().report.map(r -> r.address()).orElse(h.address());
-            list.add(new Peers.News(h.id(), s.get().toldAs, up, bad, silent, address, s.get().images()));
+            list.add(new Peers.News(h.id(), s.get().toldAs, h.token(), up, bad, silent, address, s.get().images()));
         }
         list.sort((a, b) -> Long.compare(a.number(), b.number()));
         return list;
@@ -364,7 +364,7 @@
             if (type == null || h.leaving() || !mine && !leads) {
                 continue;
             }
-            boolean up = mine ? takesTasks(h) : peers.machine(h.owner(), h.id()).filter(m -> m.up() && !m.bad()).isPresent();
+            boolean up = mine ? takesTasks(h) : peers.machine(h).filter(m -> m.up() && !m.bad()).isPresent();
             if (up || fleet.booting(h) && fleet.bootsInTime(h)) {
                 hosts.add(new Planner.Host(h.id(), h.type(), h.zone(), h.spot(), type.size(), up, mine, sessions.known(h.id()).map(Sessions.Session::images).orElse(Set.of())));
             }
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -132,15 +132,15 @@
     }
 
     /** When any controller last had a sign of life from a machine that could not be an old copy. */
-    public Optional<Duration> heard(String host) {
-        Optional<Duration> here = sessions.known(host).flatMap(s -> s.heardAt);
+    public Optional<Duration> heard(HostRecord host) {
+        Optional<Duration> here = sessions.known(host.id()).flatMap(s -> s.heardAt);
         Optional<Duration> there = peers.aliveAt(host);
         return here.filter(h -> there.isEmpty() || h.compareTo(there.get()) >= 0).or(() -> there);
     }
 
     /** Whether a machine may take its time: it was rented but nobody has heard it yet. */
     public boolean booting(HostRecord h) {
-        return heard(h.id()).isEmpty();
+        return heard(h).isEmpty();
     }
 
     /** Called with every plan on every controller; only the leader acts. */
@@ -177,7 +177,7 @@
         var counts = new java.util.TreeMap<String, Integer>();
         for (HostRecord h : replica.hosts().values()) {
             int claims = replica.claimsOn(h.id()).size();
-            String use = heard(h.id()).isEmpty() ? "booting" : h.leaving() ? "leaving" : claims == 0 ? "idle" : "used";
+            String use = heard(h).isEmpty() ? "booting" : h.leaving() ? "leaving" : claims == 0 ? "idle" : "used";
             counts.merge((h.spot() ? "spot " : "ordinary ") + use, 1, Integer::sum);
             counts.merge("tasks", claims, Integer::sum);
         }
@@ -262,7 +262,7 @@
         var silent = new HashMap<String, Integer>();
         Duration limit = settings.workers().report().multipliedBy(2).plusSeconds(2);
         for (HostRecord h : replica.hosts().values()) {
-            Optional<Duration> heard = heard(h.id());
+            Optional<Duration> heard = heard(h);
             if (heard.isPresent() && !h.leaving()) {
                 all.merge(h.zone(), 1, Integer::sum);
                 silent.merge(h.zone(), now.minus(heard.get()).compareTo(limit) > 0 ? 1 : 0, Integer::sum);
@@ -297,12 +297,12 @@
         if (row != null && row.failed()) {
             return Optional.of("it failed");
         }
-        if (peers.bad(h.owner(), h.id()) || bad(h.id())) {
+        if (peers.machine(h).filter(Peers.Machine::bad).isPresent() || bad(h.id())) {
             return Optional.of("it fails its tasks");
         }
         Duration silentLimit = options.get().silentBeforeReturn();
         Duration leading = now.minus(leadingSince.orElse(now));
-        Optional<Duration> heard = heard(h.id());
+        Optional<Duration> heard = heard(h);
         if (heard.isEmpty()) {
             Duration patience = bootTime(h).multipliedBy(options.get().bootPatience());
             Duration seen = firstSeen.computeIfAbsent(h.id(), k -> now);
--- a/src/main/java/org/dunespindle/coordination/Headroom.java
+++ b/src/main/java/org/dunespindle/coordination/Headroom.java
@@ -79,8 +79,10 @@
             Submission s = jobs.getLast();
             var typical = new Submission("~" + name, name, s.team(), s.shape(), s.priority(), perClass * sizes[sizes.length / 2], s.perTask(), s.types(), Optional.empty(), s.sameZone(), s.spread(),
                     s.spot(), common(jobs), 0, s.estimate(), Duration.ZERO, Duration.ZERO, Optional.empty());
-            if (perClass > 0) {
-                list.add(new Phantom(JobRecord.accepted(typical, Instant.EPOCH), soon(name, now)));
+            int soon = soon(name, now);
+            // A class from which nothing has come for long is not expected any more.
+            if (perClass > 0 && !came.get(name).isEmpty()) {
+                list.add(new Phantom(JobRecord.accepted(typical, Instant.EPOCH), soon));
             }
         });
         return list;
--- a/src/main/java/org/dunespindle/coordination/Membership.java
+++ b/src/main/java/org/dunespindle/coordination/Membership.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.OptionalLong;
 import org.dunespindle.bookkeeping.HostRecord;
 import org.dunespindle.bookkeeping.Keys;
@@ -94,9 +95,18 @@
     }
 
     private Optional<String> weigh(String host) {
+        return heaviest(replica.members().keySet(), host);
+    }
+
+    /** Which of some controllers a machine would hash to if they were the live ones. */
+    public Optional<String> hashedAmong(Set<String> names, String host) {
+        return heaviest(names, Keys.page(host));
+    }
+
+    private static Optional<String> heaviest(Set<String> names, String host) {
         String best = null;
         int bestWeight = 0;
-        for (String name : replica.members().keySet()) {
+        for (String name : names) {
             int weight = mix((name + '|' + host).hashCode());
             if (best == null || weight > bestWeight) {
                 best = name;
--- a/src/main/java/org/dunespindle/coordination/Ownership.java
+++ b/src/main/java/org/dunespindle/coordination/Ownership.java
@@ -5,11 +5,15 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Supplier;
 import org.dunespindle.bookkeeping.HostRecord;
+import org.dunespindle.bookkeeping.Keys;
 import org.dunespindle.bookkeeping.Replica;
 import org.dunespindle.bookkeeping.Replica.Placed;
 import org.dunespindle.bookkeeping.Timeline;
@@ -22,6 +26,7 @@
  */
 final class Ownership {
     private static final Duration LOOK_EVERY = Duration.ofMillis(250);
+    private static final Duration OTHERS_FIRST = Duration.ofSeconds(4);
     private static final Duration RETURN_EVERY = Duration.ofSeconds(5);
     private final Settings settings;
     private final Replica replica;
@@ -33,6 +38,9 @@
     private final Timeline timeline;
     private final Supplier<Options> options;
     private final Map<String, Duration> gangAt = new HashMap<>();
+    private final Set<String> all = new TreeSet<>();
+    private final Duration othersFirst;
+    private Optional<Duration> joinedAt = Optional.empty();
     private Duration lookAgainAt = Duration.ZERO;
     private Duration returnAgainAt = Duration.ZERO;
 
@@ -46,6 +54,10 @@
         this.sessions = sessions;
         this.timeline = timeline;
         this.options = options;
+        all.add(settings.nodeName());
+        settings.seeds().forEach(seed -> all.add(seed.name()));
+        Duration part = settings.workers().lease().dividedBy(4);
+        this.othersFirst = part.compareTo(OTHERS_FIRST) < 0 ? part : OTHERS_FIRST;
     }
 
     /** Takes over machines whose controller is gone, and hands back or on those that hash elsewhere. */
@@ -73,7 +85,15 @@
         }
     }
 
+    /**
+     * A page is taken by one controller as a whole, by the leader if a gang is on it: two that rewrite one page at once make one
+     * of them fail. After a crash of all, those that are back first leave the others' pages to them for a moment.
+     */
     private void takeOver() {
+        if (joinedAt.isEmpty()) {
+            joinedAt = Optional.of(timeline.now());
+        }
+        boolean early = timeline.now().minus(joinedAt.get()).compareTo(othersFirst) < 0;
         var orphans = new ArrayList<HostRecord>();
         for (HostRecord h : replica.hosts().values()) {
             if (!membership.isAlive(h.owner(), h.incarnation())) {
@@ -81,9 +101,12 @@
             }
         }
         orphans.sort(Comparator.comparing(h -> replica.claimsOn(h.id()).isEmpty())); // what runs is in a hurry, what idles is not
+        var gangPages = new HashSet<String>();
+        orphans.stream().filter(this::hasGang).forEach(h -> gangPages.add(Keys.host(h.id())));
         for (HostRecord h : orphans) {
-            Optional<String> home = hasGang(h) ? membership.leader() : membership.hashed(h.id());
-            if (!edits.busy(h.id()) && (home.filter(settings.nodeName()::equals).isPresent() || h.owner().equals(settings.nodeName()))) {
+            Optional<String> home = gangPages.contains(Keys.host(h.id())) ? membership.leader() : membership.hashed(h.id());
+            boolean comesBack = early && !membership.hashedAmong(all, h.id()).equals(Optional.of(settings.nodeName()));
+            if (!edits.busy(h.id()) && !comesBack && home.filter(settings.nodeName()::equals).isPresent()) {
                 hostDesk.take(h, Instant.EPOCH, r -> { });
             }
         }
@@ -129,7 +152,7 @@
                 return;
             }
             gangAt.put(host, timeline.now());
-            String address = peers.machine(h.owner(), host).map(Peers.Machine::address).filter(a -> !a.isEmpty()).orElse(h.address());
+            String address = peers.address(h).orElse(h.address());
             hostDesk.take(h, address, Instant.EPOCH, r -> { });
         }
     }
--- a/src/main/java/org/dunespindle/coordination/Peers.java
+++ b/src/main/java/org/dunespindle/coordination/Peers.java
@@ -15,6 +15,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.dunespindle.bookkeeping.HostRecord;
 import org.dunespindle.bookkeeping.Timeline;
 import org.dunespindle.protocol.Pack;
 import org.dunespindle.protocol.Settings;
@@ -46,10 +47,10 @@
     public record Word(Duration at, long incarnation, Duration viewAge, double writes, int waiting) {}
 
     /** A machine as its owner last told. */
-    public record Machine(boolean up, boolean bad, Duration silentFor, Duration toldAt, String address) {}
+    public record Machine(boolean up, boolean bad, Duration silentFor, Duration toldAt, String address, long token) {}
 
     /** A machine's state as its owner tells it, with a number that grows with every change. */
-    public record News(String host, long number, boolean up, boolean bad, Duration silentFor, String address, Set<String> images) {}
+    public record News(String host, long number, long token, boolean up, boolean bad, Duration silentFor, String address, Set<String> images) {}
 
     /** What this controller needs of the write rate. */
     public record Need(double writes, int waiting) {}
@@ -81,31 +82,37 @@
         return list;
     }
 
-    /** What a machine's owner told of it, while the owner's word is fresh. */
-    public Optional<Machine> machine(String owner, String host) {
-        Heard h = heard.get(owner);
-        return h == null || word(owner).isEmpty() ? Optional.empty() : Optional.ofNullable(h.machines.get(host));
+    /** What a machine's owner told of it under its present token, while the owner's word is fresh. */
+    public Optional<Machine> machine(HostRecord host) {
+        return word(host.owner()).isEmpty() ? Optional.empty() : told(host.owner(), host.id()).filter(m -> m.token == host.token());
     }
 
-    /** When a machine was last alive as far as any other controller told. */
-    public Optional<Duration> aliveAt(String host) {
+    private Optional<Machine> told(String node, String host) {
+        return Optional.ofNullable(heard.get(node)).map(h -> h.machines.get(host));
+    }
+
+    /** Where a machine is reached, as anybody told. */
+    public Optional<String> address(HostRecord host) {
+        return told(host.owner(), host.id()).map(Machine::address).filter(a -> !a.isEmpty());
+    }
+
+    /**
+     * When a machine was last alive as far as any other controller told. One that is up is told once and counts as alive as long
+     * as its owner keeps talking; but only while it is the owner: what an earlier owner told last says nothing about later.
+     */
+    public Optional<Duration> aliveAt(HostRecord host) {
         Optional<Duration> last = Optional.empty();
         for (Map.Entry<String, Heard> e : heard.entrySet()) {
-            Machine m = e.getValue().machines.get(host);
+            Machine m = e.getValue().machines.get(host.id());
             if (m != null) {
-                // One that is up is only told once; it stays alive as long as its owner keeps talking.
-                Duration at = m.up && words.containsKey(e.getKey()) ? words.get(e.getKey()).at : m.toldAt.minus(m.silentFor);
+                boolean present = m.up && e.getKey().equals(host.owner()) && m.token == host.token() && words.containsKey(e.getKey());
+                Duration at = present ? words.get(e.getKey()).at : m.toldAt.minus(m.silentFor);
                 last = last.filter(l -> l.compareTo(at) >= 0).or(() -> Optional.of(at));
             }
         }
         return last;
     }
 
-    /** Whether a machine's owner calls it bad. */
-    public boolean bad(String owner, String host) {
-        return machine(owner, host).filter(Machine::bad).isPresent();
-    }
-
     /** Machines that are gone for good. */
     public void keepOnly(Set<String> hosts) {
         heard.values().forEach(h -> h.machines.keySet().retainAll(hosts));
@@ -145,7 +152,7 @@
         for (News m : news) {
             if (m.number > from && list.size() < MOST_AT_ONCE) {
                 upTo = m.number;
-                ArrayNode row = list.addArray().add(m.host).add(m.up).add(m.bad).add(m.silentFor.toMillis()).add(m.address);
+                ArrayNode row = list.addArray().add(m.host).add(m.token).add(m.up).add(m.bad).add(m.silentFor.toMillis()).add(m.address);
                 m.images.forEach(row::add);
             }
         }
@@ -181,8 +188,8 @@
 
     private void take(Heard h, JsonNode row) {
         String host = row.path(0).asText();
-        h.machines.put(host, new Machine(row.path(1).asBoolean(), row.path(2).asBoolean(), Duration.ofMillis(row.path(3).asLong()), timeline.now(), row.path(4).asText()));
-        for (int i = 5; i < row.size(); i++) {
+        h.machines.put(host, new Machine(row.path(2).asBoolean(), row.path(3).asBoolean(), Duration.ofMillis(row.path(4).asLong()), timeline.now(), row.path(5).asText(), row.path(1).asLong()));
+        for (int i = 6; i < row.size(); i++) {
             imageSeen.accept(host, row.get(i).asText());
         }
     }
--- /dev/null
+++ b/src/test/java/org/dunespindle/coordination/PeersTest.java
@@ -0,0 +1,84 @@
+package org.dunespindle.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.dunespindle.TestSettings;
+import org.dunespindle.bookkeeping.HostRecord;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.sim.Sim;
+import org.junit.jupiter.api.Test;
+
+/** What controllers tell one another of machines, and what of it still holds later. */
+class PeersTest {
+    private final Sim sim = new Sim(1);
+    private final Peers peers = new Peers(settings(), (address, method, target, body, type, timeout) -> new java.util.concurrent.CompletableFuture<>(), sim.new Process(), () -> 1L,
+            () -> Optional.of("n0"), (host, image) -> { });
+
+    private static Settings settings() {
+        try {
+            return Settings.parse(TestSettings.node("n0", "127.0.0.1:1", "127.0.0.1:2", "cloud:1", "state:1", ""));
+        } catch (MalformedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static HostRecord host(String owner, long token) {
+        return new HostRecord("i-1", "", "m", "z", false, owner, 1, token, Instant.EPOCH, Instant.EPOCH, false, "");
+    }
+
+    private ObjectNode word(String node, long inc, long from, long upTo, boolean withNews) {
+        ObjectNode n = Pack.map().put("node", node).put("inc", inc).put("viewAgeMs", 0).put("writes", 0.0).put("waiting", 0);
+        if (withNews) {
+            n.put("from", from).put("upTo", upTo).putArray("news").addArray().add("i-1").add(3).add(true).add(false).add(0).add("a:1").add("image");
+        }
+        return peers.hear(Admin.write(n), Duration.ZERO, new Peers.Need(0, 0));
+    }
+
+    @Test
+    void aMachineThatIsUpStaysAliveWhileItsOwnerTalks() {
+        word("n1", 1, 0, 1, true);
+        sim.run(Duration.ofSeconds(3));
+        word("n1", 1, 1, 1, false);
+        assertEquals(Optional.of(Duration.ofSeconds(3)), peers.aliveAt(host("n1", 3)));
+        assertTrue(peers.machine(host("n1", 3)).orElseThrow().up());
+        sim.run(Duration.ofSeconds(30));
+        assertEquals(Optional.empty(), peers.machine(host("n1", 3)));
+    }
+
+    /** A machine that died under its new owner counted as alive for ever, because the earlier one went on talking. */
+    @Test
+    void whatAnEarlierOwnerToldSaysNothingAboutLater() {
+        word("n1", 1, 0, 1, true);
+        sim.run(Duration.ofSeconds(20));
+        word("n1", 1, 1, 1, false);
+        assertEquals(Optional.of(Duration.ZERO), peers.aliveAt(host("n0", 4)));
+        assertEquals(Optional.of(Duration.ZERO), peers.aliveAt(host("n1", 5)), "back under a new token, not proven yet");
+        assertEquals(Optional.empty(), peers.machine(host("n1", 5)));
+    }
+
+    @Test
+    void newsThatDoNotContinueWhatIsKnownAreAskedForAgain() {
+        assertEquals(0, word("n1", 1, 7, 9, true).path("took").asLong());
+        assertEquals(Optional.empty(), peers.machine(host("n1", 3)));
+        assertEquals(9, word("n1", 1, 0, 9, true).path("took").asLong());
+        assertEquals(0, word("n1", 2, 9, 9, false).path("took").asLong(), "a new process starts counting anew");
+        assertEquals(Optional.empty(), peers.machine(host("n1", 3)));
+    }
+
+    @Test
+    void unreadableWordsCountAsNone() {
+        for (String s : List.of("", "nonsense", "[]", "{\"node\":3}")) {
+            peers.hear(s.getBytes(java.nio.charset.StandardCharsets.UTF_8), Duration.ZERO, new Peers.Need(0, 0));
+        }
+        assertEquals(Set.of(), Set.copyOf(peers.fresh()));
+    }
+}
