--- a/src/main/java/org/dunespindle/coordination/Ownership.java
+++ b/src/main/java/org/dunespindle/coordination/Ownership.java
@@ -27,6 +27,7 @@
 final class Ownership {
     private static final Duration LOOK_EVERY = Duration.ofMillis(250);
     private static final Duration OTHERS_FIRST = Duration.ofSeconds(4);
+    private static final int MOST_PAGES_HANDED_ON = 6;
     private static final Duration RETURN_EVERY = Duration.ofSeconds(5);
     private final Settings settings;
     private final Replica replica;
@@ -38,6 +39,7 @@
     private final Timeline timeline;
     private final Supplier<Options> options;
     private final Map<String, Duration> gangAt = new HashMap<>();
+    private final Set<String> handedOn = new HashSet<>();
     private final Set<String> all = new TreeSet<>();
     private final Duration othersFirst;
     private Optional<Duration> joinedAt = Optional.empty();
@@ -73,6 +75,7 @@
             gangAt.keySet().retainAll(replica.hosts().keySet());
         }
         takeOver();
+        handedOn.clear();
         for (HostRecord h : replica.hosts().values()) {
             if (!membership.owns(h)) {
                 continue;
@@ -132,7 +135,10 @@
         boolean calm = h.keepUntil().isBefore(timeline.wallTime()) && now.minus(gangAt.getOrDefault(h.id(), Duration.ZERO)).compareTo(kept) > 0
                 && s.filter(x -> x.calling || x.unansweredUnder.isPresent() || !x.events.isEmpty()).isEmpty();
         Optional<Long> inc = membership.incarnationOf(home.get());
-        if (calm && inc.isPresent() && peers.word(home.get()).isPresent()) {
+        // A few pages at a time: after a controller came back there are many, and even load is less urgent than all else that is written.
+        boolean turn = handedOn.contains(Keys.host(h.id())) || handedOn.size() < MOST_PAGES_HANDED_ON;
+        if (calm && turn && inc.isPresent() && peers.word(home.get()).isPresent()) {
+            handedOn.add(Keys.host(h.id()));
             edits.change(Committer.Lane.KEEPING, h.ownedBy(home.get(), inc.get(), Instant.EPOCH), r -> { });
         }
     }
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -1,5 +1,6 @@
 package org.dunespindle.coordination;
 
+import it.unimi.dsi.fastutil.ints.IntIterator;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -210,7 +211,14 @@
             ordered.sort(Comparator.comparing((JobRecord j) -> j.job().priority(), Comparator.reverseOrder()).thenComparing(j -> !guaranteed.contains(j.id()))
                     .thenComparing(j -> ranks.get(j.id())).thenComparing(JobRecord::id));
             var kept = new HashMap<String, Integer>();
+            var alike = new ArrayList<ArrayWork>();
+            JobRecord before = null;
             for (JobRecord j : ordered) {
+                if (before != null && !equalStanding(before, j, ranks)) {
+                    arrays(alike);
+                    alike.clear();
+                }
+                before = j;
                 if (!j.job().gang()) {
                     // Room that gangs will need within seconds is not filled with lower work that would have to give way again.
                     s.phantoms().stream().filter(p -> p.job().job().priority().compareTo(j.job().priority()) > 0).forEach(p -> kept.computeIfAbsent(p.job().id(), id -> reserve(p)));
@@ -226,9 +234,10 @@
                         reasons.put(j.id(), "behind gang " + head.id() + " of its team");
                     }
                 } else {
-                    array(j);
+                    alike.add(new ArrayWork(j));
                 }
             }
+            arrays(alike);
             s.phantoms().forEach(p -> spare(p.job(), kept.getOrDefault(p.job().id(), 0)));
             return new Plan(bookings, evictions, shortfalls, reasons, wanted, gangHosts);
         }
@@ -344,44 +353,89 @@
             return (h.up() ? 8 : 0) + (h.spot() && job.spot() ? 2 : 0) + (h.images().contains(job.image()) ? 3 : 0) + fill;
         }
 
-        private void array(JobRecord j) {
-            Submission job = j.job();
-            Resources kept = reserved.getOrDefault(job.team(), Resources.NONE);
-            int unplaced = j.unplacedCount();
-            int most = Math.min(unplaced, Math.max(0, s.mostTasksPerJob() - j.claims().size()));
-            int allowed = allowed(job, kept, most);
-            if (allowed < unplaced) {
-                reasons.put(j.id(), allowed == most ? "as many of its tasks are under way as its record takes" : "its team's limit is used up");
+        private boolean equalStanding(JobRecord a, JobRecord b, Map<String, Rank> ranks) {
+            return a.job().gang() == b.job().gang() && a.job().priority() == b.job().priority() && guaranteed.contains(a.id()) == guaranteed.contains(b.id())
+                    && ranks.get(a.id()).tier() == ranks.get(b.id()).tier();
+        }
+
+        /** An array while its tasks are placed. */
+        private final class ArrayWork {
+            final JobRecord record;
+            final Submission job;
+            final Resources kept;
+            final Zones zones;
+            final IntIterator order;
+            final int unplaced;
+            final int most;
+            final Map<Integer, String> places = new LinkedHashMap<>();
+            int placed;
+
+            ArrayWork(JobRecord j) {
+                record = j;
+                job = j.job();
+                kept = reserved.getOrDefault(job.team(), Resources.NONE);
+                zones = new Zones(j);
+                unplaced = j.unplacedCount();
+                most = Math.min(unplaced, Math.max(0, s.mostTasksPerJob() - j.claims().size()));
+                order = j.unplaced(most).iterator();
             }
-            var places = new LinkedHashMap<Integer, String>();
-            var zones = new Zones(j);
-            var order = j.unplaced(allowed).iterator();
-            int left = allowed;
-            List<Slot> roomy = left == 0 || full(job) ? List.of() : roomy(job, candidates(job), zones, false);
-            for (Slot slot : roomy) {
-                while (left > 0 && job.perTask().fitsIn(slot.free) && zones.allows(slot.host)) {
-                    int task = order.nextInt();
+
+            int left() {
+                return Work.this.allowed(job, kept, most - placed);
+            }
+        }
+
+        /**
+         * Places arrays that stand alike: each first where its image is, in their order, and only then where it must be fetched.
+         * With machines full, a free place goes to whoever has the image there, and fewer of them fetch.
+         */
+        private void arrays(List<ArrayWork> alike) {
+            alike.forEach(w -> place(w, true));
+            alike.forEach(w -> place(w, false));
+            alike.forEach(this::conclude);
+        }
+
+        private void place(ArrayWork w, boolean withImage) {
+            int left = w.left();
+            if (left == 0 || full(w.job)) {
+                return;
+            }
+            List<Slot> candidates = candidates(w.job);
+            if (withImage) {
+                candidates.removeIf(slot -> !slot.host.images().contains(w.job.image()));
+            }
+            for (Slot slot : roomy(w.job, candidates, w.zones, withImage)) {
+                while (left > 0 && w.job.perTask().fitsIn(slot.free) && w.zones.allows(slot.host)) {
+                    int task = w.order.nextInt();
                     left--;
-                    take(job, slot);
-                    zones.add(slot.host.zone());
+                    w.placed++;
+                    take(w.job, slot);
+                    w.zones.add(slot.host.zone());
                     if (slot.bookable()) {
-                        places.put(task, slot.host.id());
+                        w.places.put(task, slot.host.id());
                     } else {
-                        reasons.putIfAbsent(j.id(), "waits for machines that are booting");
+                        reasons.putIfAbsent(w.record.id(), "waits for machines that are booting");
                     }
                 }
             }
-            if (left > 0) {
-                fullFor.add(job);
+            if (left > 0 && !withImage) {
+                fullFor.add(w.job);
             }
-            if (!places.isEmpty() && !s.leftAlone().contains(j.id())) {
-                bookings.add(new Booking(j, places));
+        }
+
+        private void conclude(ArrayWork w) {
+            if (!w.places.isEmpty() && !s.leftAlone().contains(w.record.id())) {
+                bookings.add(new Booking(w.record, w.places));
+            }
+            int allowed = w.left();
+            if (w.placed + allowed < w.unplaced) {
+                reasons.put(w.record.id(), w.placed + allowed == w.most ? "as many of its tasks are under way as its record takes" : "its team's limit is used up");
             }
-            int waiting = Math.min(left, allowed(job, kept.plus(pending.getOrDefault(job.team(), Resources.NONE)), left));
+            int waiting = allowed(w.job, w.kept.plus(pending.getOrDefault(w.job.team(), Resources.NONE)), allowed);
             if (waiting > 0) {
-                pending.merge(job.team(), job.perTask().times(waiting), Resources::plus);
-                reasons.putIfAbsent(j.id(), "no room on machines it may use");
-                shortfalls.add(new Shortfall(j, waiting, zones.only));
+                pending.merge(w.job.team(), w.job.perTask().times(waiting), Resources::plus);
+                reasons.putIfAbsent(w.record.id(), "no room on machines it may use");
+                shortfalls.add(new Shortfall(w.record, waiting, w.zones.only));
             }
         }
 
