Late arrays no longer go first for being within the guarantee; sessions of gone machines forgotten

Ruled out: lost work (no task killed by its lease any more), write rate. Also: sessions of machines that are gone were kept for ever on controllers that do not lead; now for 5 minutes.

--- a/src/main/java/org/dunespindle/Daemon.java
+++ b/src/main/java/org/dunespindle/Daemon.java
@@ -29,7 +29,7 @@
     private static final int BODY_LIMIT = 64 << 10;
     private static final int PEER_BODY_LIMIT = 1 << 20;
     /** Workers keep a connection each to this controller; idle ones to them may take this part of the sockets. */
-    private static final int KEPT_PART = 5;
+    private static final int KEPT_PART = 10;
     private static final String JSON = "application/json";
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final Controller controller;
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -210,6 +210,7 @@
             writeShare.adjust();
             peers.tell(replica.age(), writeShare.need(), peers.leaderListens() ? news() : List.of());
             peers.keepOnly(replica.hosts().keySet());
+            sessions.forget(replica.hosts().keySet(), timeline.now());
         }
         timeline.after(WORD_EVERY, this::word);
     }
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -149,6 +149,8 @@
         if (!membership.leads()) {
             leadingSince = Optional.empty();
             unrecorded.clear();
+            firstSeen.clear();
+            idleSince.clear();
             return;
         }
         if (leadingSince.isEmpty()) {
@@ -239,7 +241,6 @@
             if (isGone(h.id()) && replica.claimsOn(h.id()).isEmpty() && !edits.busy(h.id()) && !edits.crowded()) {
                 edits.remove(h.id(), r -> {
                     if (r instanceof TxnResult.Applied) {
-                        sessions.drop(h.id());
                         firstSeen.remove(h.id());
                         idleSince.remove(h.id());
                     }
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -208,7 +208,8 @@
             ordered.removeIf(j -> !j.open() || j.unplacedCount() == 0 || !s.gangs() && (j.job().gang() || s.leftAlone().contains(j.id())));
             var ranks = new HashMap<String, Rank>();
             ordered.forEach(j -> ranks.put(j.id(), rank(j)));
-            ordered.sort(Comparator.comparing((JobRecord j) -> j.job().priority(), Comparator.reverseOrder()).thenComparing(j -> !guaranteed.contains(j.id()))
+            // The oldest unfinished jobs are what counts as guaranteed first; those that are late anyway must not push others past their time too.
+            ordered.sort(Comparator.comparing((JobRecord j) -> j.job().priority(), Comparator.reverseOrder()).thenComparing(j -> ranks.get(j.id()).tier() == LOST_CAUSE).thenComparing(j -> !guaranteed.contains(j.id()))
                     .thenComparing(j -> ranks.get(j.id())).thenComparing(JobRecord::id));
             var kept = new HashMap<String, Integer>();
             var alike = new ArrayList<ArrayWork>();
--- a/src/main/java/org/dunespindle/coordination/Sessions.java
+++ b/src/main/java/org/dunespindle/coordination/Sessions.java
@@ -13,6 +13,7 @@
 
 /** What this process knows of each worker. It is gone with the process; nothing in it is needed for safety. */
 public final class Sessions {
+    private static final Duration REMEMBER = Duration.ofMinutes(5);
     private final Map<String, Session> byHost = new HashMap<>();
 
     /** One worker as seen from here. */
@@ -21,6 +22,8 @@
         Optional<WorkerReport> report = Optional.empty();
         /** When the worker last gave a sign of life that cannot be an old copy. */
         Optional<Duration> heardAt = Optional.empty();
+        /** When anything new came from it, be it an old copy. */
+        Duration seenAt = Duration.ZERO;
         /** A direct command is under way; nothing is concluded until its answer is in. */
         boolean calling;
         /** A {@code run} went unanswered under this token and may still land; empty once fenced off. */
@@ -61,6 +64,7 @@
                 }
                 heardAt = Optional.of(now);
             }
+            seenAt = now;
             // The first report of all may be an old copy: it is where counting starts, but proves no life.
             report = Optional.of(r);
             return true;
@@ -124,7 +128,11 @@
         return byHost;
     }
 
-    public void drop(String host) {
-        byHost.remove(host);
+    /**
+     * Forgets machines that are gone, though not at once: while late copies of their reports may come, it must be known that
+     * they are old.
+     */
+    public void forget(Set<String> present, Duration now) {
+        byHost.entrySet().removeIf(e -> !present.contains(e.getKey()) && !e.getValue().verifying && now.minus(e.getValue().seenAt).compareTo(REMEMBER) > 0);
     }
 }
--- a/src/test/java/org/dunespindle/coordination/PlannerTest.java
+++ b/src/test/java/org/dunespindle/coordination/PlannerTest.java
@@ -124,8 +124,8 @@
 
     @Test
     void workThatCanMeetNoTimeAnyMoreLetsTheOthersGoFirst() {
-        // Now is second 1000: the first came at 50 and is past both times, the second can still meet 900 s.
-        JobRecord lost = begun(job(50, "blue", Shape.ARRAY, Priority.LOW, 3, false, false, true));
+        // The first is within its team's guarantee besides. Now is second 1000: it came at 50 and is past both times, the second can still meet 900 s.
+        JobRecord lost = begun(job(50, "blue", Shape.ARRAY, Priority.LOW, 2, false, false, true));
         JobRecord open = begun(job(600, "blue", Shape.ARRAY, Priority.LOW, 3, false, false, true));
         Planner.Plan plan = plan(List.of(lost, open), List.of(host("a", "east", false, 1)));
         assertEquals(List.of("wk-000600"), plan.bookings().stream().map(b -> b.job().id()).toList());
