--- a/src/test/java/org/dunespindle/sim/TroubleTest.java
+++ b/src/test/java/org/dunespindle/sim/TroubleTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.dunespindle.protocol.Priority;
@@ -153,6 +152,30 @@
         assertServed(world, ids);
     }
 
+    /** A machine of a running gang is about to be taken away, so the gang saves; the controllers crash in those seconds. */
+    @ParameterizedTest
+    @ValueSource(longs = {105, 106, 107, 108, 109, 110})
+    void allControllersCrashWhileAGangSaves(long seed) {
+        var world = new World(seed);
+        Submission gang = new Submission("wk-000001", "class", "red", Shape.GANG, Priority.URGENT, 6, new Resources(1, 1, 1), Optional.empty(), Optional.empty(), false, false, true, "image", 2,
+                Duration.ofSeconds(25), Duration.ofSeconds(5), Duration.ofSeconds(4), Optional.empty());
+        world.submit(gang);
+        world.submit(WorldTest.job("wk-000002", "blue", Shape.ARRAY, 5, false, true));
+        while (!world.lastTold("wk-000001").equals("running") && world.sim.now().compareTo(Duration.ofSeconds(60)) < 0) {
+            world.sim.run(world.sim.now().plusSeconds(1));
+        }
+        world.sim.run(world.sim.now().plusSeconds(3));
+        WorkerStandIn taken = world.alive().stream().filter(w -> w.holds("wk-000001")).findFirst().orElseThrow();
+        world.take(taken, Duration.ofSeconds(12));
+        for (int n = 0; n < 3; n++) {
+            int node = n;
+            world.sim.after(2200 + 500 * (seed - 105), () -> world.crash(node, Duration.ofMillis(400 + 700L * node)));
+        }
+        world.sim.run(world.sim.now().plusSeconds(300));
+        assertServed(world, List.of("wk-000001", "wk-000002"));
+        assertTrue(world.saves > 0, "nothing was saved");
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {111, 112})
     void everyControllerKnowsEveryJobAfterTroubles(long seed) {
--- a/src/test/java/org/dunespindle/sim/WorkerStandIn.java
+++ b/src/test/java/org/dunespindle/sim/WorkerStandIn.java
@@ -24,6 +24,8 @@
     private int node;
     boolean dead;
     boolean cut;
+    /** When the cloud takes it away, once it has said so. */
+    Duration takenAt;
     /** Its reports arrive; answers and commands do not. */
     boolean oneWay;
 
@@ -34,6 +36,8 @@
         String cause = "";
         Duration endsAt = Duration.ofDays(1);
         Duration gatherUntil = Duration.ofDays(1);
+        Duration savedAt = Duration.ofDays(1);
+        boolean saved;
 
         Task(PieceId piece, long attempt) {
             this.piece = piece;
@@ -82,6 +86,11 @@
         return id;
     }
 
+    /** Whether a task of a job is on it. */
+    boolean holds(String job) {
+        return tasks.values().stream().anyMatch(t -> t.onMachine() && t.piece.job().equals(job));
+    }
+
     /** How often its lease has run out, plus one. */
     public long session() {
         return session;
@@ -94,11 +103,17 @@
     ObjectNode report() {
         ObjectNode n = Pack.map().put("host", id).put("address", address()).put("hull", "box").put("dune", zone).put("driftwood", spot).put("tenure", session)
                 .put("tick", ++tick).put("baton", token);
+        if (takenAt != null) {
+            n.put("warningS", takenAt.minus(sim.now()).toMillis() / 1000.0);
+        }
         var list = n.putArray("pieces");
         for (Task t : tasks.values()) {
             ObjectNode p = list.addObject().put("piece", t.piece.toString()).put("try", t.attempt).put("phase", t.phase);
             if (t.phase.equals("exited")) {
                 p.put("cause", t.cause);
+                if (t.saved) {
+                    p.put("saved", true);
+                }
             }
         }
         return n;
@@ -159,7 +174,11 @@
                     }
                 }
                 case "halt" -> {
-                    if (t != null && !t.phase.equals("exited")) {
+                    Duration linger = Duration.ofMillis(o.path("lingerS").asLong() * 1000);
+                    if (t != null && t.phase.equals("running") && world.saveTime(piece).compareTo(Duration.ZERO) > 0 && linger.compareTo(world.saveTime(piece)) >= 0) {
+                        t.phase = "saving";
+                        t.savedAt = sim.now().plus(world.saveTime(piece));
+                    } else if (t != null && !t.phase.equals("exited") && !(t.phase.equals("saving") && linger.compareTo(Duration.ZERO) > 0)) {
                         t.exit("stopped");
                     }
                 }
@@ -209,6 +228,12 @@
                 } else if (sim.now().compareTo(t.gatherUntil) > 0) {
                     t.exit("incomplete");
                 }
+            } else if (t.phase.equals("saving")) {
+                if (sim.now().compareTo(t.savedAt) >= 0) {
+                    t.saved = true;
+                    world.saves++;
+                    t.exit("stopped");
+                }
             } else if (t.phase.equals("running")) {
                 if (world.isGang(t.piece) && !world.gangIntact(t)) {
                     t.exit("peers");
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -126,6 +126,22 @@
         w.dead = true;
     }
 
+    /** Tasks that saved when they were stopped. */
+    public int saves;
+
+    Duration saveTime(PieceId piece) {
+        return jobs.get(piece.job()).saveTime();
+    }
+
+    /** The cloud takes a machine away after a notice. */
+    public void take(WorkerStandIn w, Duration notice) {
+        w.takenAt = sim.now().plus(notice);
+        sim.after(notice, () -> {
+            w.dead = true;
+            workers.remove(w.id);
+        });
+    }
+
     /** A machine without network for a while; it is told nothing and heard by nobody, and what was sent arrives late. */
     public void cut(WorkerStandIn w, Duration length) {
         w.cut = true;
@@ -431,7 +447,7 @@
             if (t != started && t.piece.equals(started.piece)) {
                 broken.add("ran_twice: " + t.piece + " on " + t.host() + " and " + started.host());
             }
-            if (t.piece.job().equals(started.piece.job())) {
+            if (t.piece.job().equals(started.piece.job()) && workers.containsKey(t.host())) {
                 zones.add(workers.get(t.host()).zone);
             }
         }
@@ -457,7 +473,7 @@
     }
 
     void startGang(WorkerStandIn.Task one) {
-        Duration end = sim.now().plusSeconds(5);
+        Duration end = sim.now().plusSeconds(saveTime(one.piece).isZero() ? 5 : 25);
         members(one).forEach(t -> {
             t.phase = "running";
             t.endsAt = end;
