--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -372,7 +372,7 @@
         }
         int most = Math.max(8, (settings.state().valueBytes() - RECORD_RESERVE) / RECORD_PER_TASK);
         return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, outcomes.ended(), leftAlone(jobs), leads,
-                leads ? headroom.phantoms(options().spareJobs(), timeline.wallTime()) : List.of(), targets.byClass(), leads ? progress(jobs) : p -> Duration.ZERO);
+                leads ? headroom.phantoms(options().spareJobs(), timeline.wallTime()) : List.of(), targets, leads ? progress(jobs) : p -> Duration.ZERO);
     }
 
     /** How long tasks booked together have been under way: since they were first seen here, which is a little late or, after a start, much. */
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -17,7 +17,6 @@
 import org.dunespindle.bookkeeping.Keys;
 import org.dunespindle.bookkeeping.Replica;
 import org.dunespindle.bookkeeping.Timeline;
-import org.dunespindle.bookkeeping.Txn;
 import org.dunespindle.bookkeeping.TxnResult;
 import org.dunespindle.protocol.ListedMachine;
 import org.dunespindle.protocol.MachineType;
--- a/src/main/java/org/dunespindle/coordination/Membership.java
+++ b/src/main/java/org/dunespindle/coordination/Membership.java
@@ -2,9 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -123,10 +121,6 @@
         return x ^ (x >>> 13);
     }
 
-    public List<String> liveNames() {
-        return new ArrayList<>(replica.members().keySet());
-    }
-
     /** Called regularly: joins, and takes the leader key when it is free. */
     public void tick() {
         if (!replica.loaded()) {
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -40,7 +40,7 @@
      * @param progress how long tasks have been under way, as far as known here
      */
     public record Snapshot(Instant now, List<JobRecord> jobs, List<Host> hosts, Map<String, Settings.Team> teams, Map<String, Place> whereabouts,
-            Set<Market> refused, int mostTasksPerJob, Set<Ended> ended, Set<String> leftAlone, boolean gangs, List<Headroom.Phantom> phantoms, Map<String, List<Duration>> targets,
+            Set<Market> refused, int mostTasksPerJob, Set<Ended> ended, Set<String> leftAlone, boolean gangs, List<Headroom.Phantom> phantoms, Targets targets,
             Function<Started, Duration> progress) {}
 
     /** A claim whose task has ended. */
@@ -274,7 +274,7 @@
             if (j.claims().isEmpty() && j.next() == 0 && Duration.between(j.arrived(), s.now()).compareTo(BEGIN_WITHIN) > 0) {
                 return new Rank(0, j.arrived().toEpochMilli());
             }
-            List<Duration> ends = job.due().map(List::of).orElseGet(() -> s.targets().getOrDefault(job.jobClass(), List.of()));
+            List<Duration> ends = s.targets().all(job);
             Duration atBest = job.estimate().multipliedBy(7).dividedBy(10);
             long work = job.estimate().multipliedBy(j.unplacedCount()).toMillis();
             int tier = 1;
--- a/src/main/java/org/dunespindle/coordination/Targets.java
+++ b/src/main/java/org/dunespindle/coordination/Targets.java
@@ -1,31 +1,40 @@
 package org.dunespindle.coordination;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeSet;
 import org.dunespindle.protocol.Settings;
 import org.dunespindle.protocol.Submission;
 
-/** The times within which jobs should be done: their own deadline, or those that the operators aim at for their class. */
+/** The times within which jobs should be done: multiples of their own deadline, or those that the operators aim at for their class. */
 public final class Targets {
-    private final Map<String, List<Duration>> byClass = new HashMap<>();
+    private final Map<String, TreeSet<Duration>> finished = new HashMap<>();
+    private final Map<String, TreeSet<Double>> deadlines = new HashMap<>();
 
     public Targets(List<Settings.Objective> objectives) {
-        objectives.stream().filter(o -> o.kind().equals("finished")).sorted(Comparator.comparing(Settings.Objective::within))
-                .forEach(o -> byClass.computeIfAbsent(o.jobClass(), c -> new ArrayList<>()).add(o.within()));
+        for (Settings.Objective o : objectives) {
+            if (o.kind().equals("finished")) {
+                finished.computeIfAbsent(o.jobClass(), c -> new TreeSet<>()).add(o.within());
+            } else if (o.kind().equals("deadline") && o.times() > 0) {
+                deadlines.computeIfAbsent(o.jobClass(), c -> new TreeSet<>()).add(o.times());
+            }
+        }
     }
 
-    /** The finishing times of each class, shortest first. */
-    public Map<String, List<Duration>> byClass() {
-        return byClass;
+    /** All times that a job is measured by, from its submission on, shortest first. */
+    public List<Duration> all(Submission job) {
+        if (job.due().isEmpty()) {
+            return List.copyOf(finished.getOrDefault(job.jobClass(), new TreeSet<>()));
+        }
+        TreeSet<Double> times = deadlines.get(job.jobClass());
+        return times == null ? List.of(job.due().get()) : times.stream().map(t -> Duration.ofMillis(Math.round(job.due().get().toMillis() * t))).toList();
     }
 
-    /** The first time that a job is measured by, from its submission on. */
+    /** The first time that a job is measured by. */
     public Optional<Duration> nearest(Submission job) {
-        return job.due().or(() -> byClass.getOrDefault(job.jobClass(), List.of()).stream().findFirst());
+        return all(job).stream().findFirst();
     }
 }
--- a/src/main/java/org/dunespindle/protocol/Settings.java
+++ b/src/main/java/org/dunespindle/protocol/Settings.java
@@ -33,8 +33,8 @@
         }
     }
 
-    /** A restated aim. */
-    public record Objective(String kind, String jobClass, Duration within, double share) {}
+    /** A restated aim; {@code times} is the multiple of its deadline that a job is measured by. */
+    public record Objective(String kind, String jobClass, Duration within, double share, double times) {}
 
     /** Timing of the workers. */
     public record Workers(Duration report, Duration lease, Duration gangWait, Duration gangPeer, Duration cancel) {}
@@ -73,7 +73,7 @@
         }
         var objectives = new ArrayList<Objective>();
         for (JsonNode o : d.path("objectives")) {
-            objectives.add(new Objective(o.path("kind").asText(""), o.path("class").asText(""), seconds(o.path("within_s").asDouble(0)), o.path("share").asDouble(0)));
+            objectives.add(new Objective(o.path("kind").asText(""), o.path("class").asText(""), seconds(o.path("within_s").asDouble(0)), o.path("share").asDouble(0), o.path("times").asDouble(1)));
         }
         var zones = new ArrayList<String>();
         d.path("zones").forEach(z -> zones.add(z.asText()));
--- a/src/test/java/org/dunespindle/coordination/PlannerTest.java
+++ b/src/test/java/org/dunespindle/coordination/PlannerTest.java
@@ -28,6 +28,9 @@
 class PlannerTest {
     private static final Map<String, Settings.Team> TEAMS = Map.of("red", new Settings.Team("red", 0, Double.POSITIVE_INFINITY, 4, 6), "blue", new Settings.Team("blue", 0, Double.POSITIVE_INFINITY, 2, 9));
 
+    private static final Targets TARGETS = new Targets(List.of(new Settings.Objective("finished", "c", Duration.ofSeconds(900), 0.9, 1),
+            new Settings.Objective("finished", "c", Duration.ofSeconds(200), 0.9, 1), new Settings.Objective("deadline", "d", Duration.ZERO, 0.9, 1.5), new Settings.Objective("deadline", "d", Duration.ZERO, 0.9, 1)));
+
     private static JobRecord job(int id, String team, Shape shape, Priority priority, int tasks, boolean sameZone, boolean spread, boolean spot) {
         return JobRecord.accepted(new Submission("wk-%06d".formatted(id), "c", team, shape, priority, tasks, new Resources(1, 1, 1), Optional.empty(), Optional.empty(), sameZone, spread, spot, "i", 1,
                 Duration.ofSeconds(10), Duration.ZERO, Duration.ZERO, Optional.empty()), Instant.ofEpochSecond(id));
@@ -40,7 +43,7 @@
     private static Planner.Plan plan(List<JobRecord> jobs, List<Planner.Host> hosts) {
         var places = new HashMap<String, Planner.Place>();
         hosts.forEach(h -> places.put(h.id(), new Planner.Place(h.type(), h.zone(), h.spot())));
-        return Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), jobs, hosts, TEAMS, places, Set.of(), 100, Set.of(), Set.of(), true, List.of(), Map.of("c", List.of(Duration.ofSeconds(200), Duration.ofSeconds(900))), p -> Duration.ZERO));
+        return Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), jobs, hosts, TEAMS, places, Set.of(), 100, Set.of(), Set.of(), true, List.of(), TARGETS, p -> Duration.ZERO));
     }
 
     @Property(seed = "21", tries = 200)
@@ -135,6 +138,14 @@
         return j.placed(new TreeMap<>(Map.of(0, "gone"))).released(0, true);
     }
 
+    @Test
+    void aDeadlineCountsByAllMultiplesThatAreAimedAt() {
+        Submission due = new Submission("wk-000001", "d", "red", Shape.ARRAY, Priority.LOW, 1, new Resources(1, 1, 1), Optional.empty(), Optional.empty(), false, false, true, "i", 1, Duration.ofSeconds(10),
+                Duration.ZERO, Duration.ZERO, Optional.of(Duration.ofSeconds(100)));
+        assertEquals(List.of(Duration.ofSeconds(100), Duration.ofSeconds(150)), TARGETS.all(due));
+        assertEquals(List.of(Duration.ofSeconds(200), Duration.ofSeconds(900)), TARGETS.all(job(1, "red", Shape.ARRAY, Priority.LOW, 1, false, false, true).job()));
+    }
+
     @Test
     void anArrayThatHasWaitedLongBeginsBeforeSmallerOnes() {
         JobRecord large = job(50, "blue", Shape.ARRAY, Priority.LOW, 9, false, false, true);
@@ -158,7 +169,7 @@
         JobRecord low = job(990, "blue", Shape.ARRAY, Priority.LOW, 5, false, false, true);
         JobRecord equal = job(991, "blue", Shape.ARRAY, Priority.URGENT, 1, false, false, true);
         var hosts = List.of(host("a", "east", false, 4));
-        Planner.Plan plan = Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), List.of(low, equal), hosts, TEAMS, Map.of(), Set.of(), 100, Set.of(), Set.of(), true, List.of(phantom), Map.of(),
+        Planner.Plan plan = Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), List.of(low, equal), hosts, TEAMS, Map.of(), Set.of(), 100, Set.of(), Set.of(), true, List.of(phantom), TARGETS,
                 p -> Duration.ZERO));
         assertEquals(List.of(1, 1), plan.bookings().stream().map(b -> b.places().size()).toList());
     }
