The test of answering orphans now fails without it

All machines of the stand-in world shared a record and hashed to the controller that came back first.

--- a/src/test/java/org/dunespindle/sim/TroubleTest.java
+++ b/src/test/java/org/dunespindle/sim/TroubleTest.java
@@ -108,7 +108,7 @@
     @ParameterizedTest
     @ValueSource(longs = {93, 94, 95, 96, 97, 98})
     void workersOutliveACrashOfAllControllers(long seed) {
-        var world = new World(seed);
+        var world = new World(seed, 7, 10); // a record each, so that they hash to different controllers
         world.submit(WorldTest.job("wk-000001", "red", Shape.SERVICE, 8, false, false));
         world.submit(WorldTest.job("wk-000002", "blue", Shape.SERVICE, 4, false, false));
         world.sim.run(Duration.ofSeconds(30));
@@ -116,6 +116,10 @@
         for (int n = 0; n < 3; n++) {
             world.crash(n, n == 0 ? Duration.ofMillis(5300) : Duration.ofSeconds(20));
         }
+        world.sim.run(world.sim.now().plusMillis(6300)); // one is back, and has not taken over the others' machines yet
+        for (WorkerStandIn w : all) {
+            assertEquals(200, world.answer(0, w), w.id());
+        }
         world.sim.run(Duration.ofSeconds(60));
         assertEquals(List.of(), all.stream().filter(w -> w.session() > 1).map(WorkerStandIn::id).toList(), "leases that ran out");
         assertEquals(List.of(), world.broken);
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -299,6 +299,13 @@
         }
     }
 
+    /** What a controller answers a worker's report at once, or 0. */
+    public int answer(int node, WorkerStandIn w) {
+        var status = new int[1];
+        receive(nodes[node], w.report(), (code, body) -> status[0] = code);
+        return status[0];
+    }
+
     /** All machines that live. */
     public List<WorkerStandIn> alive() {
         return workers.values().stream().filter(w -> !w.dead).toList();
