--- a/src/test/java/org/dunespindle/sim/TroubleTest.java
+++ b/src/test/java/org/dunespindle/sim/TroubleTest.java
@@ -16,13 +16,6 @@
 
 /** What is checked at a day's end, each trouble by itself, with whole controllers in virtual time. */
 class TroubleTest {
-    private static void assertServed(World world, List<String> ids) {
-        assertEquals(List.of(), world.broken);
-        for (String id : ids) {
-            assertEquals("done", world.lastTold(id), id);
-        }
-    }
-
     private static String hosts(World world) {
         return world.admin(0, "GET", "/v1/hosts", "").join().body().path("hosts").toString();
     }
@@ -38,7 +31,7 @@
         world.sim.run(Duration.ofSeconds(60));
         assertTrue(deaf.dead(), "its reports alone kept it");
         world.sim.run(Duration.ofSeconds(300));
-        assertServed(world, ids);
+        WorldTest.assertAllDone(world, ids);
     }
 
     @Test
@@ -53,7 +46,7 @@
         world.sim.run(Duration.ofSeconds(36));
         assertTrue(world.admin(0, "GET", "/v1/jobs/wk-000002", "").join().body().path("places").findValuesAsText("host").stream().noneMatch(deaf.id()::equals));
         world.sim.run(Duration.ofSeconds(120));
-        assertServed(world, List.of("wk-000002"));
+        WorldTest.assertAllDone(world, List.of("wk-000002"));
     }
 
     @ParameterizedTest
@@ -68,7 +61,7 @@
         }
         world.sim.after(20_000, () -> world.die(world.worker((int) seed % 5)));
         world.sim.run(Duration.ofSeconds(300));
-        assertServed(world, ids);
+        WorldTest.assertAllDone(world, ids);
         assertEquals(List.of(), world.alive().stream().map(WorkerStandIn::id).toList());
         assertEquals("[]", hosts(world), "copies of reports rebuilt machines that were returned");
     }
@@ -153,7 +146,7 @@
             });
         }
         world.sim.run(Duration.ofSeconds(300));
-        assertServed(world, ids);
+        WorldTest.assertAllDone(world, ids);
     }
 
     /** A machine of a running gang is about to be taken away, so the gang saves; the controllers crash in those seconds. */
@@ -176,7 +169,7 @@
             world.sim.after(2200 + 500 * (seed - 105), () -> world.crash(node, Duration.ofMillis(400 + 700L * node)));
         }
         world.sim.run(world.sim.now().plusSeconds(300));
-        assertServed(world, List.of("wk-000001", "wk-000002"));
+        WorldTest.assertAllDone(world, List.of("wk-000001", "wk-000002"));
         assertTrue(world.saves > 0, "nothing was saved");
     }
 
@@ -199,7 +192,7 @@
             }
         }
         world.sim.run(Duration.ofSeconds(400));
-        assertServed(world, ids);
+        WorldTest.assertAllDone(world, ids);
     }
 
     @Test
@@ -211,7 +204,7 @@
         world.submit(new Submission("wk-000002", "class", "blue", Shape.GANG, Priority.URGENT, 70, new Resources(4, 0, 1), Optional.empty(), Optional.empty(), false, false, false, "image", 2,
                 Duration.ofSeconds(5), Duration.ZERO, Duration.ZERO, Optional.empty()));
         world.sim.run(Duration.ofSeconds(300));
-        assertServed(world, List.of("wk-000001", "wk-000002"));
+        WorldTest.assertAllDone(world, List.of("wk-000001", "wk-000002"));
     }
 
     /** Small jobs keep coming, from the gang's own team and from another one that borrows beyond its guarantee. */
--- a/src/test/java/org/dunespindle/sim/WorldTest.java
+++ b/src/test/java/org/dunespindle/sim/WorldTest.java
@@ -32,7 +32,7 @@
         return ids;
     }
 
-    private static void assertAllDone(World world, List<String> ids) {
+    static void assertAllDone(World world, List<String> ids) {
         assertEquals(List.of(), world.broken);
         for (String id : ids) {
             assertEquals("done", world.lastTold(id), id);
