Machines of a crashed controller are kept; standing still, long logs, scarce sockets

Cause, seen in virtual time: after a controller's crash the leader took its machines over and gave them back at once as silent for a minute. A machine that is up is told of once; after the change of hands its earlier owner's last word was its only sign of life. Silence now counts from the change of hands, and the take-over uses the address that the owner told.

Confirmed by tests that fail without the change: a process that stood still takes nobody for silent that it did not hear (Vigil); a log of changes that cannot be taken in (too long, unreadable, never arrives, too old) is replaced by pages, which go on where they stopped.

--- a/src/main/java/org/dunespindle/AdminCommands.java
+++ b/src/main/java/org/dunespindle/AdminCommands.java
@@ -15,6 +15,7 @@
 import org.dunespindle.protocol.Pack;
 import org.dunespindle.transport.HttpAnswer;
 import org.dunespindle.transport.HttpCaller;
+import org.dunespindle.transport.Sockets;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Model.OptionSpec;
 import picocli.CommandLine.Model.PositionalParamSpec;
@@ -24,6 +25,7 @@
 final class AdminCommands {
     private static final int REFUSED = 1;
     private static final int UNREACHABLE = 3;
+    private static final int SOCKETS = 256;
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Map<String, String> READS = reads();
@@ -65,7 +67,7 @@
         String argument = parsed.matchedPositionalValue(0, "");
         var group = new NioEventLoopGroup(1);
         try {
-            var http = new HttpCaller(group.next(), 4);
+            var http = new HttpCaller(group.next(), 4, new Sockets(SOCKETS));
             return switch (name) {
                 case "job" -> print(call(http, at, "GET", "/v1/jobs/" + argument, new byte[0]));
                 case "drain" -> print(call(http, at, "POST", "/v1/hosts/" + argument + "/drain", new byte[0]));
--- a/src/main/java/org/dunespindle/Daemon.java
+++ b/src/main/java/org/dunespindle/Daemon.java
@@ -23,6 +23,7 @@
 import org.dunespindle.transport.HttpCaller;
 import org.dunespindle.transport.HttpListener;
 import org.dunespindle.transport.HttpReply;
+import org.dunespindle.transport.Sockets;
 
 /** Ties a controller to its listeners. One event loop does everything, so nothing needs a lock. */
 public final class Daemon implements AutoCloseable {
@@ -32,16 +33,18 @@
     private static final int KEPT_PART = 10;
     private static final String JSON = "application/json";
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final Sockets sockets;
     private final Controller controller;
     private final Channel front;
     private final Channel peer;
 
     public Daemon(Settings settings) throws InterruptedException {
+        sockets = new Sockets(settings.sockets());
         EventLoop loop = group.next();
         var timeline = new LoopTimeline(loop);
-        controller = new Controller(settings, new HttpCaller(loop, settings.sockets() / KEPT_PART), timeline);
-        front = HttpListener.open(group, settings.front(), BODY_LIMIT, this::front, status -> packed(status, Pack.map().put("error", refusal(status)), Optional.empty()));
-        peer = HttpListener.open(group, settings.peerListen(), PEER_BODY_LIMIT, this::peer, status -> json(status, Pack.map().put("error", refusal(status))));
+        controller = new Controller(settings, new HttpCaller(loop, settings.sockets() / KEPT_PART, sockets), timeline);
+        front = HttpListener.open(group, settings.front(), BODY_LIMIT, this::front, status -> packed(status, Pack.map().put("error", refusal(status)), Optional.empty()), sockets);
+        peer = HttpListener.open(group, settings.peerListen(), PEER_BODY_LIMIT, this::peer, status -> json(status, Pack.map().put("error", refusal(status))), sockets);
         loop.execute(controller::start);
     }
 
@@ -145,7 +148,10 @@
     private void beat(HttpCall call, Consumer<HttpReply> reply) {
         try {
             WorkerReport report = WorkerReport.parse(Pack.read(call.body()));
-            controller.hostDesk().report(report, (status, body) -> reply.accept(packed(status, body, Optional.empty())));
+            controller.hostDesk().report(report, (status, body) -> {
+                HttpReply whole = packed(status, body, Optional.empty());
+                reply.accept(sockets.scarce() ? whole.andClose() : whole);
+            });
         } catch (MalformedException e) {
             reply.accept(packed(400, Pack.map().put("error", e.getMessage()), Optional.empty()));
         }
--- a/src/main/java/org/dunespindle/Rehearsal.java
+++ b/src/main/java/org/dunespindle/Rehearsal.java
@@ -17,6 +17,7 @@
 import org.dunespindle.transport.HttpCaller;
 import org.dunespindle.transport.HttpListener;
 import org.dunespindle.transport.HttpReply;
+import org.dunespindle.transport.Sockets;
 
 /**
  * A short life on loopback, so that the build can archive the classes that a real start loads: starting a
@@ -28,6 +29,8 @@
     private static final Duration LENGTH = Duration.ofMillis(2500);
     private long revision = 1;
 
+    private static final int SOCKETS = 256;
+
     private Rehearsal() {}
 
     static int run() {
@@ -44,8 +47,9 @@
 
     private void play() throws IOException, MalformedException, InterruptedException {
         var group = new NioEventLoopGroup(1);
-        Channel outside = HttpListener.open(group, new InetSocketAddress(HOST, 0), 1 << 16, this::answer, s -> reply(s, Pack.map()));
-        Channel probe = HttpListener.open(group, new InetSocketAddress(HOST, 0), 1 << 16, this::answer, s -> reply(s, Pack.map()));
+        var sockets = new Sockets(SOCKETS);
+        Channel outside = HttpListener.open(group, new InetSocketAddress(HOST, 0), 1 << 16, this::answer, s -> reply(s, Pack.map()), sockets);
+        Channel probe = HttpListener.open(group, new InetSocketAddress(HOST, 0), 1 << 16, this::answer, s -> reply(s, Pack.map()), sockets);
         int front = port(probe);
         probe.close().sync();
         String there = HOST + ":" + port(outside);
@@ -84,7 +88,7 @@
                 """.formatted(HOST, front, HOST, there, there, there);
         Path settings = Files.writeString(Files.createTempFile("rehearsal", ".toml"), file);
         try (var daemon = new Daemon(Settings.load(settings))) {
-            var http = new HttpCaller(group.next(), 4);
+            var http = new HttpCaller(group.next(), 4, sockets);
             String self = HOST + ":" + front;
             Thread.sleep(LENGTH.toMillis() / 2);
             http.send(self, "GET", "/healthz", new byte[0], Pack.TYPE, TIMEOUT);
--- a/src/main/java/org/dunespindle/bookkeeping/Replica.java
+++ b/src/main/java/org/dunespindle/bookkeeping/Replica.java
@@ -13,8 +13,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CompletionException;
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.Pack;
+import org.dunespindle.transport.AnswerTooLong;
+import org.dunespindle.transport.HttpAnswer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,6 +29,8 @@
 public final class Replica {
     private static final Logger LOG = LoggerFactory.getLogger(Replica.class);
     private static final int PAGE = 500;
+    /** So many readings of the log in a row that got no answer: it may be too long to arrive in time, so pages are tried. */
+    private static final int LOG_TRIES = 3;
     private final StateClient state;
     private final Timeline timeline;
     private final Duration interval;
@@ -47,6 +52,11 @@
     private long syncedTo = -1;
     private Duration freshAt = Duration.ZERO;
     private boolean reading;
+    private int logFailures;
+    /** Whether everything has to be read again although there is a copy. */
+    private boolean logLost;
+    /** What has been read so far; a page that fails is asked for again, not all of them. */
+    private Optional<Loading> loading = Optional.empty();
     private boolean timerSet;
     private List<Waiter> waiting = new ArrayList<>();
 
@@ -180,16 +190,13 @@
         List<Waiter> served = waiting;
         waiting = new ArrayList<>();
         Duration begun = timeline.now();
-        if (!loaded()) {
-            load("", -1, new LinkedHashMap<>(), begun, served);
+        if (!loaded() || logLost || logFailures >= LOG_TRIES) {
+            load(loading.orElseGet(() -> new Loading(begun)), served);
             return;
         }
         state.changes(Keys.ROOT, syncedTo).whenComplete((answer, failure) -> {
             if (failure != null || answer.status() != 200) {
-                if (answer != null && answer.status() == 410) {
-                    LOG.info("the log of changes no longer reaches back to revision {}; reading everything again", syncedTo);
-                    syncedTo = -1;
-                }
+                logFailed(answer, failure);
                 finish(served, false);
                 return;
             }
@@ -203,40 +210,84 @@
                 }
                 syncedTo = Math.max(syncedTo, body.path("epoch").longValue());
                 freshAt = begun;
+                logFailures = 0;
+                loading = Optional.empty(); // begun for nothing, and by now too old to go on with
                 if (any) {
                     changed.run();
                 }
                 finish(served, true);
             } catch (MalformedException e) {
+                logLost("cannot be read");
                 finish(served, false);
             }
         });
     }
 
+    /**
+     * A log that cannot be taken in must not be asked for again and again: after a long cut it may hold thousands of changes, and
+     * only grows. Whoever is refused or not answered learns nothing about the log; but when answers keep
+     * staying out, it may be because they are so long.
+     */
+    private void logFailed(HttpAnswer answer, Throwable failure) {
+        Throwable cause = failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        if (cause instanceof AnswerTooLong) {
+            logLost("is too long");
+        } else if (answer != null && answer.status() >= 400 && answer.status() < 500 && answer.status() != 429) {
+            logLost("no longer reaches back so far");
+        } else if (failure != null) {
+            logFailures++;
+        }
+    }
+
+    private void logLost(String why) {
+        LOG.info("the log of changes since revision {} {}; reading everything again", syncedTo, why);
+        logLost = true;
+    }
+
     private record Row(JsonNode value, long stamp) {}
 
-    private void load(String since, long epoch, Map<String, Row> rows, Duration begun, List<Waiter> served) {
-        state.list(Keys.ROOT, since, PAGE).whenComplete((body, failure) -> {
+    /** Everything under way to be read, page by page. */
+    private static final class Loading {
+        final Map<String, Row> rows = new LinkedHashMap<>();
+        final Duration begun;
+        String since = "";
+        /** Of the first page: pages are read at different revisions, and the log is followed from the first one's. */
+        long epoch = -1;
+
+        Loading(Duration begun) {
+            this.begun = begun;
+        }
+    }
+
+    private void load(Loading l, List<Waiter> served) {
+        loading = Optional.of(l);
+        state.list(Keys.ROOT, l.since, PAGE).whenComplete((body, failure) -> {
             if (failure != null) {
+                logFailures = 0; // an outage looks the same from here: the log is tried again in turn, if it may still do
                 finish(served, false);
                 return;
             }
-            String last = since;
+            String last = l.since;
             for (JsonNode row : body.path("rows")) {
                 last = row.path("key").asText();
-                rows.put(last, new Row(row.path("v"), row.path("stamp").longValue()));
+                l.rows.put(last, new Row(row.path("v"), row.path("stamp").longValue()));
             }
-            // Pages are read at different revisions; the log is followed from the first page's.
-            long from = epoch < 0 ? body.path("epoch").longValue() : epoch;
-            if (body.path("more").asBoolean(false) && !last.equals(since)) {
-                load(last, from, rows, begun, served);
+            l.epoch = l.epoch < 0 ? body.path("epoch").longValue() : l.epoch;
+            if (body.path("more").asBoolean(false) && !last.equals(l.since)) {
+                l.since = last;
+                load(l, served);
                 return;
             }
-            replaceAll(rows);
-            syncedTo = from;
-            freshAt = begun;
+            loading = Optional.empty();
+            logLost = false;
+            logFailures = 0;
+            replaceAll(l.rows);
+            syncedTo = l.epoch;
+            freshAt = l.begun;
             changed.run();
-            finish(served, true);
+            // What changed while the pages were read is in the log: whoever waits is served from there.
+            waiting.addAll(0, served);
+            finish(List.of(), true);
         });
     }
 
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -60,6 +60,7 @@
     private final Membership membership;
     private final Committer committer;
     private final Sessions sessions = new Sessions();
+    private final Vigil vigil;
     private final Stops stops = new Stops();
     private final MachineEdits edits;
     private final HostDesk hostDesk;
@@ -102,6 +103,7 @@
     public Controller(Settings settings, Caller http, Timeline timeline) {
         this.settings = settings;
         this.timeline = timeline;
+        this.vigil = new Vigil(timeline);
         this.decisions = new Decisions(timeline);
         this.options = Options.defaults(settings.workers().lease());
         this.targets = new Targets(settings.objectives());
@@ -110,11 +112,11 @@
         this.membership = new Membership(settings.nodeName(), state, replica, timeline);
         this.committer = new Committer(state, replica, timeline, settings.state().txnOps(), this::wake);
         this.edits = new MachineEdits(replica, committer, timeline);
-        this.hostDesk = new HostDesk(settings, replica, membership, edits, http, timeline, sessions, decisions, stops, this::cutOff, this::wake);
+        this.hostDesk = new HostDesk(settings, replica, membership, edits, http, timeline, sessions, decisions, stops, vigil, this::cutOff, this::wake);
         this.peers = new Peers(settings, http, timeline, membership::incarnation, membership::leader, (host, image) -> sessions.of(host).fetched(image));
         this.writeShare = new WriteShare(settings, peers, membership, committer, state, timeline);
         this.cloud = new CloudClient(http, settings, timeline);
-        this.fleet = new Fleet(settings, replica, membership, edits, hostDesk, cloud, timeline, sessions, peers, decisions, targets, this::options, () -> catalog);
+        this.fleet = new Fleet(settings, replica, membership, edits, hostDesk, cloud, timeline, sessions, peers, decisions, targets, vigil, this::options, () -> catalog);
         this.ownership = new Ownership(settings, replica, membership, hostDesk, edits, peers, sessions, timeline, this::options);
         this.outcomes = new Outcomes(settings, replica, membership, committer, hostDesk, sessions, timeline, decisions);
         this.placements = new Placements(settings, replica, membership, committer, edits, outcomes, stops, hostDesk, timeline, decisions, this::takesTasks);
@@ -201,6 +203,7 @@
     }
 
     private void heartbeat() {
+        vigil.beat();
         wake();
         timeline.after(ROUND_AT_LEAST_EVERY, this::heartbeat);
     }
@@ -231,7 +234,7 @@
             }
             boolean up = takesTasks(h);
             boolean bad = fleet.bad(h.id());
-            Duration silent = up ? Duration.ZERO : now.minus(s.get().unprovenSince.filter(u -> u.compareTo(s.get().heardAt.get()) < 0).orElse(s.get().heardAt.get()));
+            Duration silent = up ? Duration.ZERO : vigil.silence(s.get().unprovenSince.filter(u -> u.compareTo(s.get().heardAt.get()) < 0).orElse(s.get().heardAt.get()));
             String told = h.token() + (up ? "u" : "d" + silent.toSeconds() / 3) + bad + s.get().images().hashCode();
             if (!told.equals(s.get().told)) {
                 s.get().told = told;
@@ -264,6 +267,7 @@
             roundSet = false;
             Duration begun = timeline.now();
             lastRound = begun;
+            vigil.beat();
             try {
                 round();
             } catch (RuntimeException e) {
@@ -278,6 +282,9 @@
     private void round() {
         // In every round, not only on the heartbeat: after a crash of all controllers the workers' leases are about to end.
         membership.tick();
+        if (!membership.leads()) {
+            fleet.standDown(); // also when it leads again by the next plan: it did not watch meanwhile
+        }
         if (!replica.loaded() || membership.incarnation() == 0) {
             return;
         }
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -57,6 +57,7 @@
     private final Peers peers;
     private final Decisions decisions;
     private final Targets targets;
+    private final Vigil vigil;
     private final Supplier<Options> options;
     private final Supplier<Optional<List<MachineType>>> catalog;
     private final Map<Planner.Market, Refusal> refusals = new HashMap<>();
@@ -72,15 +73,19 @@
     private Duration judgeAgainAt = Duration.ZERO;
     private boolean firstOfAll;
     private final Set<String> silentZones = new HashSet<>();
+    /** Since when each machine has been under its present command, as seen here. */
+    private final Map<String, Command> commands = new HashMap<>();
     private boolean listing;
     private boolean renting;
     private boolean returning;
     private long charters;
 
+    private record Command(long token, Duration since) {}
+
     private record Refusal(Duration until, Duration pause) {}
 
     public Fleet(Settings settings, Replica replica, Membership membership, MachineEdits edits, HostDesk hostDesk, CloudClient cloud, Timeline timeline, Sessions sessions,
-            Peers peers, Decisions decisions, Targets targets, Supplier<Options> options, Supplier<Optional<List<MachineType>>> catalog) {
+            Peers peers, Decisions decisions, Targets targets, Vigil vigil, Supplier<Options> options, Supplier<Optional<List<MachineType>>> catalog) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
@@ -92,6 +97,7 @@
         this.sessions = sessions;
         this.peers = peers;
         this.decisions = decisions;
+        this.vigil = vigil;
         this.options = options;
         this.catalog = catalog;
     }
@@ -146,10 +152,7 @@
     public void tick(Planner.Plan plan) {
         Duration now = timeline.now();
         if (!membership.leads()) {
-            leadingSince = Optional.empty();
-            unrecorded.clear();
-            firstSeen.clear();
-            idleSince.clear();
+            standDown();
             return;
         }
         if (leadingSince.isEmpty()) {
@@ -170,6 +173,17 @@
         rent(plan);
     }
 
+    /** This controller does not lead now. What it knew as a leader says nothing once it leads again. */
+    void standDown() {
+        if (leadingSince.isPresent()) {
+            leadingSince = Optional.empty();
+            unrecorded.clear();
+            firstSeen.clear();
+            idleSince.clear();
+            commands.clear();
+        }
+    }
+
     private void tellSize(Duration now) {
         if (!LOG.isDebugEnabled() || now.compareTo(tellAgainAt) < 0) {
             return;
@@ -241,6 +255,7 @@
                 edits.remove(h.id(), r -> {
                     if (r instanceof TxnResult.Applied) {
                         firstSeen.remove(h.id());
+                        commands.remove(h.id());
                         idleSince.remove(h.id());
                     }
                 });
@@ -265,7 +280,7 @@
             Optional<Duration> heard = heard(h);
             if (heard.isPresent() && !h.leaving()) {
                 all.merge(h.zone(), 1, Integer::sum);
-                silent.merge(h.zone(), now.minus(heard.get()).compareTo(limit) > 0 ? 1 : 0, Integer::sum);
+                silent.merge(h.zone(), vigil.silence(heard.get()).compareTo(limit) > 0 ? 1 : 0, Integer::sum);
             }
         }
         silentZones.clear();
@@ -301,7 +316,7 @@
             return Optional.of("it fails its tasks");
         }
         Duration silentLimit = options.get().silentBeforeReturn();
-        Duration leading = now.minus(leadingSince.orElse(now));
+        Duration leading = vigil.silence(leadingSince.orElse(now));
         Optional<Duration> heard = heard(h);
         if (heard.isEmpty()) {
             Duration patience = bootTime(h).multipliedBy(options.get().bootPatience());
@@ -314,7 +329,8 @@
         }
         boolean ownerTalks = membership.owns(h) || peers.word(h.owner()).isPresent();
         Duration limit = silentLimit.plus(ownerTalks ? Duration.ZERO : Duration.ofSeconds(25));
-        Duration silence = now.minus(later(heard.get(), leadingSince.orElse(now)));
+        // Whoever takes a machine over has not heard it yet, and what its earlier owner told last may be minutes old.
+        Duration silence = vigil.silence(later(heard.get(), later(commandedSince(h, now), leadingSince.orElse(now))));
         if (silence.compareTo(limit) > 0 && (!silentZones.contains(h.zone()) || silence.compareTo(cutPatience()) > 0)) {
             return Optional.of("it has been silent for " + silence.toSeconds() + " s");
         }
@@ -325,6 +341,10 @@
         return idle.compareTo(idleLimit(h.spot())) > 0 ? Optional.of(HostRecord.IDLE) : Optional.empty();
     }
 
+    private Duration commandedSince(HostRecord h, Duration now) {
+        return commands.compute(h.id(), (id, c) -> c != null && c.token == h.token() ? c : new Command(h.token(), now)).since;
+    }
+
     /** The more machines there are, the sooner another one is free for the next job, and the less each has to wait for it. */
     private Duration idleLimit(boolean spot) {
         Duration set = options.get().idleBeforeReturn(spot);
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -52,6 +52,9 @@
     private static final int STRAYS_UNSEEN = 4;
     private static final int ORDERS_AT_ONCE = 200;
     private static final int MOST_KEPT_EXITS = 6;
+    /** Calls to machines may take this part of the sockets, those to silent ones half of it: in a cut they hang by the hundred. */
+    private static final int CALLS_PART = 8;
+    private static final int LEAST_CALLS = 16;
     private final Settings settings;
     private final Replica replica;
     private final Membership membership;
@@ -61,6 +64,7 @@
     private final Sessions sessions;
     private final Decisions decisions;
     private final Stops stops;
+    private final Vigil vigil;
     private final BooleanSupplier cutOff;
     private final Runnable changed;
     /** Views older than this no longer entitle: a cancellation told elsewhere may be unknown here. */
@@ -70,9 +74,14 @@
     private long version;
     private long reports;
     private long calls;
+    private final int mostCalls;
+    private int underWay;
+    private int underWayToSilent;
+    /** Machines that a call is due to once another has ended; what to say is decided then. */
+    private final LinkedHashSet<String> inLine = new LinkedHashSet<>();
 
     public HostDesk(Settings settings, Replica replica, Membership membership, MachineEdits edits, Caller http, Timeline timeline, Sessions sessions, Decisions decisions,
-            Stops stops, BooleanSupplier cutOff, Runnable changed) {
+            Stops stops, Vigil vigil, BooleanSupplier cutOff, Runnable changed) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
@@ -82,8 +91,10 @@
         this.sessions = sessions;
         this.decisions = decisions;
         this.stops = stops;
+        this.vigil = vigil;
         this.cutOff = cutOff;
         this.changed = changed;
+        this.mostCalls = Math.max(LEAST_CALLS, settings.sockets() / CALLS_PART);
         Duration spare = settings.workers().cancel().minus(settings.workers().lease()).minus(Duration.ofSeconds(4));
         this.viewLimit = spare.compareTo(Duration.ofSeconds(2)) < 0 ? Duration.ofSeconds(2) : spare;
     }
@@ -239,9 +250,16 @@
 
     /** Asks a worker itself: only an answer shows that it is there, and that commands from here reach it. */
     private void verify(WorkerReport r, Sessions.Session session, Consumer<Boolean> then) {
+        if (underWay >= mostCalls) {
+            then.accept(false);
+            return;
+        }
         session.verifying = true;
+        underWay++;
         http.send(r.address(), "GET", "/inspect", new byte[0], Pack.TYPE, INSPECT_TIMEOUT).whenComplete((a, e) -> {
             session.verifying = false;
+            underWay--;
+            nextInLine();
             then.accept(a != null && a.status() == 200 && answered(r.host(), session, a.body()));
         });
     }
@@ -317,7 +335,7 @@
 
     /** How long a machine has reported without taking commands; empty while it takes them. */
     public Optional<Duration> oneWayFor(String host) {
-        return sessions.known(host).flatMap(s -> s.unprovenSince).map(timeline.now()::minus);
+        return sessions.known(host).flatMap(s -> s.unprovenSince).map(vigil::silence);
     }
 
     /** One pass over the machines about which something changed: sends orders, notes what became of claims. */
@@ -475,6 +493,12 @@
         if (address.isEmpty() || timeline.now().compareTo(s.callAgainAt) < 0) {
             return; // a timer brings it back
         }
+        // A silent machine is asked seldom: in a cut there are hundreds, and each attempt holds a socket. Its next report ends the pause.
+        boolean silent = s.heardAt.filter(t -> vigil.silence(t).compareTo(settings.workers().report().multipliedBy(2)) < 0).isEmpty();
+        if (underWay >= mostCalls || silent && underWayToSilent >= mostCalls / 2) {
+            inLine.add(record.id());
+            return;
+        }
         List<Order> some = orders.size() > ORDERS_AT_ONCE ? orders.subList(0, ORDERS_AT_ONCE) : orders;
         boolean starts = some.stream().anyMatch(o -> o instanceof Order.Run);
         long session = s.report.map(WorkerReport::session).orElse(1L);
@@ -482,8 +506,13 @@
         s.starting(token, session, some);
         s.calling = true;
         calls++;
+        underWay++;
+        underWayToSilent += silent ? 1 : 0;
         http.send(address, "POST", "/orders", Pack.write(Order.command(token, session, some)), Pack.TYPE, ORDER_TIMEOUT).whenComplete((a, e) -> {
             s.calling = false;
+            underWay--;
+            underWayToSilent -= silent ? 1 : 0;
+            nextInLine();
             version++;
             if (a != null && (a.status() == 200 || a.status() == 409)) {
                 if (!answered(record.id(), s, a.body()) && starts) {
@@ -498,13 +527,19 @@
                 if (starts && sent && (a == null || a.status() >= 500)) {
                     unanswered(record, s, token);
                 }
-                // A silent machine is asked seldom: in a cut there are hundreds, and each attempt holds a socket. Its next report ends the pause.
-                boolean silent = s.heardAt.filter(t -> timeline.now().minus(t).compareTo(settings.workers().report().multipliedBy(2)) < 0).isEmpty();
                 pause(record.id(), s, silent ? SILENT_PAUSE : CALL_PAUSE);
             }
         });
     }
 
+    private void nextInLine() {
+        int free = Math.max(1, mostCalls - underWay);
+        for (var it = inLine.iterator(); free > 0 && it.hasNext(); free--) {
+            due.add(it.next());
+            it.remove();
+        }
+    }
+
     private void unanswered(HostRecord record, Sessions.Session s, long token) {
         s.unansweredUnder = Optional.of(token);
         s.unansweredAt = timeline.now();
--- a/src/main/java/org/dunespindle/coordination/Ownership.java
+++ b/src/main/java/org/dunespindle/coordination/Ownership.java
@@ -110,7 +110,8 @@
             Optional<String> home = gangPages.contains(Keys.host(h.id())) ? membership.leader() : membership.hashed(h.id());
             boolean comesBack = early && !membership.hashedAmong(all, h.id()).equals(Optional.of(settings.nodeName()));
             if (!edits.busy(h.id()) && !comesBack && home.filter(settings.nodeName()::equals).isPresent()) {
-                hostDesk.take(h, Instant.EPOCH, r -> { });
+                // A rented machine's record may not tell its address; its owner did.
+                peers.address(h).ifPresentOrElse(a -> hostDesk.take(h, a, Instant.EPOCH, r -> { }), () -> hostDesk.take(h, Instant.EPOCH, r -> { }));
             }
         }
     }
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/Vigil.java
@@ -0,0 +1,48 @@
+package org.dunespindle.coordination;
+
+import java.time.Duration;
+import org.dunespindle.bookkeeping.Timeline;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Notices when this process stood still while its clocks went on. Then workers and controllers look silent only because
+ * nobody here listened, so silence is counted from the moment of waking. What rests on the age of the stored
+ * state needs no such care: a reading counts from when it was asked for.
+ */
+final class Vigil {
+    private static final Logger LOG = LoggerFactory.getLogger(Vigil.class);
+    private static final Duration STOOD_STILL = Duration.ofSeconds(2);
+    private final Timeline timeline;
+    private Duration lastBeat;
+    private Duration listeningSince;
+
+    Vigil(Timeline timeline) {
+        this.timeline = timeline;
+        this.lastBeat = timeline.now();
+        this.listeningSince = lastBeat;
+    }
+
+    /** Called at least twice a second, and before anything is concluded from silence. */
+    void beat() {
+        Duration now = timeline.now();
+        Duration gap = now.minus(lastBeat);
+        lastBeat = now;
+        if (gap.compareTo(STOOD_STILL) > 0) {
+            listeningSince = now;
+            LOG.info("this process stood still for {} ms", gap.toMillis());
+        }
+    }
+
+    /** How long this process has listened without a break. */
+    Duration awake() {
+        return timeline.now().minus(listeningSince);
+    }
+
+    /** How long something has been silent that was last heard then, as far as it was listened to. */
+    Duration silence(Duration heardAt) {
+        Duration silent = timeline.now().minus(heardAt);
+        Duration awake = awake();
+        return silent.compareTo(awake) < 0 ? silent : awake;
+    }
+}
--- a/src/main/java/org/dunespindle/transport/CallFailure.java
+++ b/src/main/java/org/dunespindle/transport/CallFailure.java
@@ -4,7 +4,7 @@
  * A request without an answer. Whether it was {@link #sent} decides what its sender may conclude: an
  * unsent request can never be executed, a sent one may be executed at any later time.
  */
-public final class CallFailure extends Exception {
+public class CallFailure extends Exception {
     private static final long serialVersionUID = 1L;
     private final boolean sent;
 
--- a/src/main/java/org/dunespindle/transport/HttpCaller.java
+++ b/src/main/java/org/dunespindle/transport/HttpCaller.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -28,9 +29,11 @@
 
 /** Outgoing requests over kept connections, one request at a time on each. All on one event loop. */
 public final class HttpCaller implements Caller {
-    private static final int ANSWER_LIMIT = 8 << 20;
+    /** Pages of the state service have 512 KiB at most; only a log of changes may be longer, and it is then read as pages. */
+    private static final int ANSWER_LIMIT = 2 << 20;
     private static final int KEPT_PER_ADDRESS = 3;
     private final int mostKept;
+    private final Sockets sockets;
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     /** Idle connections by address, the longest unused address first. */
@@ -41,15 +44,17 @@
      * A caller on one event loop.
      *
      * @param mostKept idle connections kept at most; there may be more workers than sockets
+     * @param sockets counts its connections; while they are scarce, none is kept idle
      */
-    public HttpCaller(EventLoop loop, int mostKept) {
+    public HttpCaller(EventLoop loop, int mostKept, Sockets sockets) {
+        this.sockets = sockets;
         this.mostKept = mostKept;
         this.loop = loop;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ANSWER_LIMIT), new Exchange());
+                        channel.pipeline().addLast(new HttpClientCodec(), new Bounded(), new Exchange());
                     }
                 });
     }
@@ -57,6 +62,7 @@
     @Override
     public CompletableFuture<HttpAnswer> send(String address, String method, String target, byte[] body, String contentType, Duration timeout) {
         var pending = new Pending(address, request(address, method, target, body, contentType));
+        pending.until = System.nanoTime() + timeout.toNanos();
         pending.timer = loop.schedule(() -> pending.fail("no answer in time"), timeout.toMillis(), TimeUnit.MILLISECONDS);
         ArrayDeque<Channel> idle = kept.getOrDefault(address, new ArrayDeque<>());
         Channel channel;
@@ -75,11 +81,20 @@
             pending.fail("not an address: " + address);
             return pending.result;
         }
-        bootstrap.connect(target4).addListener((io.netty.channel.ChannelFuture f) -> {
+        var connecting = bootstrap.connect(target4);
+        sockets.opened();
+        connecting.channel().closeFuture().addListener(closed -> sockets.closed());
+        pending.connecting = connecting.channel();
+        connecting.addListener((io.netty.channel.ChannelFuture f) -> {
             if (!f.isSuccess()) {
                 pending.fail("no connection");
             } else if (pending.result.isDone()) {
                 f.channel().close();
+            } else if (System.nanoTime() - pending.until > 0) {
+                // After this process stood still, connects that finished meanwhile come before overdue timers: what was
+                // decided before is not sent any more.
+                f.channel().close();
+                pending.fail("no connection in time");
             } else {
                 pending.start(f.channel());
             }
@@ -90,9 +105,10 @@
     /** Closes what has not been used for longest. */
     private void trim() {
         var oldest = kept.values().iterator();
-        while (idleCount > mostKept && oldest.hasNext()) {
+        int most = sockets.scarce() ? 0 : mostKept;
+        while (idleCount > most && oldest.hasNext()) {
             ArrayDeque<Channel> idle = oldest.next();
-            while (!idle.isEmpty() && idleCount > mostKept) {
+            while (!idle.isEmpty() && idleCount > most) {
                 idle.pollFirst().close();
                 idleCount--;
             }
@@ -117,7 +133,11 @@
         final DefaultFullHttpRequest request;
         final CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
         ScheduledFuture<?> timer;
+        /** In the loop's own time. */
+        long until;
         Channel channel;
+        Channel connecting;
+        boolean tooLong;
 
         Pending(String address, DefaultFullHttpRequest request) {
             this.address = address;
@@ -135,7 +155,10 @@
             if (channel != null) {
                 channel.close();
             }
-            result.completeExceptionally(new CallFailure(why, channel != null));
+            if (connecting != null) {
+                connecting.close(); // one that hangs in a cut would hold its socket for minutes
+            }
+            result.completeExceptionally(tooLong ? new AnswerTooLong() : new CallFailure(why, channel != null));
         }
 
         void finish(HttpAnswer answer, boolean keep) {
@@ -152,6 +175,23 @@
         }
     }
 
+    /** Takes in whole answers up to the limit; what is longer is given up. */
+    private static final class Bounded extends HttpObjectAggregator {
+        Bounded() {
+            super(ANSWER_LIMIT);
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            Pending p = ctx.pipeline().get(Exchange.class).pending;
+            if (p != null && !p.result.isDone()) {
+                p.tooLong = true;
+                p.fail("too long");
+            }
+            ctx.close();
+        }
+    }
+
     private static final class Exchange extends SimpleChannelInboundHandler<FullHttpResponse> {
         private Pending pending;
 
--- a/src/main/java/org/dunespindle/transport/HttpListener.java
+++ b/src/main/java/org/dunespindle/transport/HttpListener.java
@@ -36,6 +36,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(HttpListener.class);
 
     private static final Duration LINGER = Duration.ofSeconds(2);
+    /** All workers come back at once after a cut or a crash; a connection that finds no place waits a second or more for its next try. */
+    private static final int BACKLOG = 4096;
 
     /** Answers a request now or later, exactly once, on the event loop. */
     @FunctionalInterface
@@ -48,15 +50,18 @@
     /**
      * Binds the listener.
      *
+     * @param sockets counts its connections
      * @param refusal builds the answer to a request that cannot be read, from its status code
      */
-    public static Channel open(EventLoopGroup loop, InetSocketAddress address, int bodyLimit, Handler handler, IntFunction<HttpReply> refusal)
+    public static Channel open(EventLoopGroup loop, InetSocketAddress address, int bodyLimit, Handler handler, IntFunction<HttpReply> refusal, Sockets sockets)
             throws InterruptedException {
         return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 256).childOption(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        sockets.opened();
+                        channel.closeFuture().addListener(closed -> sockets.closed());
                         channel.pipeline().addLast(new HttpServerCodec(4096, 8192, 8192), new Whole(bodyLimit, refusal), new Serial(handler, refusal));
                     }
                 }).bind(address).sync().channel();
@@ -149,7 +154,8 @@
             return new HttpCall(request.method().name(), mark < 0 ? uri : uri.substring(0, mark), mark < 0 ? "" : uri.substring(mark + 1), body);
         }
 
-        private void answer(ChannelHandlerContext ctx, HttpReply reply, boolean keepAlive) {
+        private void answer(ChannelHandlerContext ctx, HttpReply reply, boolean wanted) {
+            boolean keepAlive = wanted && !reply.last();
             var sent = ctx.writeAndFlush(response(reply, keepAlive));
             if (!keepAlive) {
                 waiting.clear();
--- a/src/main/java/org/dunespindle/transport/HttpReply.java
+++ b/src/main/java/org/dunespindle/transport/HttpReply.java
@@ -3,5 +3,18 @@
 import java.time.Duration;
 import java.util.Optional;
 
-/** What a listener answers. */
-public record HttpReply(int status, String contentType, byte[] body, Optional<Duration> retryAfter) {}
+/**
+ * What a listener answers.
+ *
+ * @param last whether the connection ends after it
+ */
+public record HttpReply(int status, String contentType, byte[] body, Optional<Duration> retryAfter, boolean last) {
+    public HttpReply(int status, String contentType, byte[] body, Optional<Duration> retryAfter) {
+        this(status, contentType, body, retryAfter, false);
+    }
+
+    /** The same, after which the connection ends. */
+    public HttpReply andClose() {
+        return new HttpReply(status, contentType, body, retryAfter, true);
+    }
+}
--- a/src/test/java/org/dunespindle/sim/Sim.java
+++ b/src/test/java/org/dunespindle/sim/Sim.java
@@ -49,6 +49,7 @@
     /** A process's timers: they die with it. */
     public final class Process implements Timeline {
         private boolean dead;
+        private Duration frozenUntil = Duration.ZERO;
 
         public void kill() {
             dead = true;
@@ -58,6 +59,38 @@
             return dead;
         }
 
+        /** From now on it does nothing while its clocks go on; what arrives meanwhile is there when it wakes. */
+        public void freeze(Duration length) {
+            frozenUntil = now.plus(length);
+        }
+
+        public boolean frozen() {
+            return now.compareTo(frozenUntil) < 0;
+        }
+
+        /** Something that arrives from outside: on waking all of it is read before overdue timers fire. */
+        public void arrive(Runnable work) {
+            if (dead) {
+                return;
+            }
+            if (frozen()) {
+                Sim.this.after(frozenUntil.minus(now), () -> arrive(work));
+            } else {
+                work.run();
+            }
+        }
+
+        private void fire(Runnable work) {
+            if (dead) {
+                return;
+            }
+            if (frozen()) {
+                Sim.this.after(frozenUntil.minus(now).plusMillis(1), () -> fire(work));
+            } else {
+                work.run();
+            }
+        }
+
         @Override
         public Duration now() {
             return now;
@@ -70,11 +103,7 @@
 
         @Override
         public void after(Duration delay, Runnable work) {
-            Sim.this.after(delay, () -> {
-                if (!dead) {
-                    work.run();
-                }
-            });
+            Sim.this.after(delay, () -> fire(work));
         }
     }
 }
--- a/src/test/java/org/dunespindle/sim/TroubleTest.java
+++ b/src/test/java/org/dunespindle/sim/TroubleTest.java
@@ -224,4 +224,67 @@
         assertEquals(List.of(), world.broken);
         assertTrue(List.of("running", "done").contains(world.lastTold("wk-000001")), world.admin(0, "GET", "/v1/jobs/wk-000001", "").join().body().toString());
     }
+
+    /** Controllers that stand still while their clocks go on, the leader first, at any stage of placing, replacing, saving and cancelling. */
+    @ParameterizedTest
+    @ValueSource(longs = {141, 142, 143, 144, 145, 146, 147, 148, 149, 150})
+    void controllersStandStillAtAnyStage(long seed) {
+        var world = new World(seed);
+        world.repeat = 0.1;
+        List<String> ids = WorldTest.submitMix(world, 14);
+        for (int k = 0; k < 5; k++) {
+            int which = k;
+            world.sim.after(3000L + k * 9000L + world.sim.random.nextInt(6000), () -> {
+                int leader = Math.max(0, world.leader());
+                world.freeze((leader + (which % 2)) % 3, Duration.ofMillis(1500 + world.sim.random.nextInt(24_000)));
+            });
+        }
+        world.sim.after(14_000, () -> world.cancel(ids.get(9)));
+        world.sim.after(16_000, () -> world.take(world.worker((int) seed % 4), Duration.ofSeconds(12)));
+        world.sim.after(26_000, () -> world.crash((int) seed % 3, Duration.ofMillis(300)));
+        world.sim.run(Duration.ofSeconds(400));
+        assertEquals(List.of(), world.broken);
+        ids.stream().filter(id -> !id.equals(ids.get(9))).forEach(id -> assertEquals("done", world.lastTold(id), id));
+        assertTrue(List.of("done", "cancelled").contains(world.lastTold(ids.get(9))));
+    }
+
+    /** What an earlier owner told last may be minutes old, since a machine that is up is told of once. */
+    @ParameterizedTest
+    @ValueSource(longs = {161, 162, 163, 164})
+    void machinesOfACrashedControllerAreKept(long seed) {
+        var world = new World(seed, 7, 10); // a record each, so that they hash to different controllers
+        world.submit(WorldTest.job("wk-000001", "red", Shape.SERVICE, 10, false, false));
+        world.submit(WorldTest.job("wk-000002", "blue", Shape.SERVICE, 6, false, false));
+        world.sim.run(Duration.ofSeconds(70));
+        List<WorkerStandIn> used = world.alive().stream().filter(w -> w.tasks().iterator().hasNext()).toList();
+        assertTrue(!used.isEmpty());
+        int leader = world.leader();
+        world.crash((leader + 1) % 3, Duration.ofSeconds(200));
+        world.crash((leader + 2) % 3, Duration.ofSeconds(200));
+        world.sim.run(Duration.ofSeconds(100));
+        assertEquals(List.of(), used.stream().filter(WorkerStandIn::dead).map(WorkerStandIn::id).toList(), "given back");
+        assertEquals(List.of(), world.broken);
+    }
+
+    /** Nobody else could take over: what it has not heard, it could not hear. */
+    @ParameterizedTest
+    @ValueSource(ints = {14, 19, 27})
+    void aControllerThatStoodStillReturnsNoMachineForItsSilence(int seconds) {
+        var world = new World(151);
+        world.submit(WorldTest.job("wk-000001", "red", Shape.SERVICE, 6, false, false));
+        world.sim.run(Duration.ofSeconds(60));
+        int leader = world.leader();
+        world.crash((leader + 1) % 3, Duration.ofSeconds(200));
+        world.crash((leader + 2) % 3, Duration.ofSeconds(200));
+        world.sim.run(Duration.ofSeconds(75));
+        // Its workers can't reach it right after it wakes: what it has last heard of them is old by then.
+        List<WorkerStandIn> all = world.alive();
+        List<WorkerStandIn> used = all.stream().filter(w -> w.tasks().iterator().hasNext()).toList();
+        assertTrue(!used.isEmpty());
+        world.freeze(leader, Duration.ofSeconds(seconds));
+        all.forEach(w -> world.cut(w, Duration.ofSeconds(seconds).plusMillis(2500)));
+        world.sim.run(Duration.ofSeconds(75 + seconds + 8));
+        assertEquals(List.of(), used.stream().filter(WorkerStandIn::dead).map(WorkerStandIn::id).toList(), "given back");
+        assertEquals(List.of(), world.broken);
+    }
 }
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -35,6 +35,7 @@
     static final int SLOTS = 4;
     static final Duration LEASE = Duration.ofSeconds(10);
     static final Duration GANG_WAIT = Duration.ofSeconds(30);
+    private static final Duration ANSWER_WITHIN = Duration.ofSeconds(4);
     static final Duration CANCEL = Duration.ofSeconds(30);
     private static final List<String> ZONES = List.of("east", "west");
     public final Sim sim;
@@ -110,6 +111,11 @@
         sim.after(pause, () -> boot(i));
     }
 
+    /** A controller stands still for a while, its clocks going on. */
+    public void freeze(int i, Duration length) {
+        processes[i].freeze(length);
+    }
+
     int nodeIndex(String name) {
         return name.matches("n[0-2]") ? name.charAt(1) - '0' : -1;
     }
@@ -160,11 +166,7 @@
     private Caller caller(Sim.Process owner, int from) {
         return (address, method, target, body, type, timeout) -> {
             var result = new CompletableFuture<HttpAnswer>();
-            sim.after(timeout, () -> {
-                if (!owner.isDead()) {
-                    result.completeExceptionally(new CallFailure("no answer in time", true));
-                }
-            });
+            owner.after(timeout, () -> result.completeExceptionally(new CallFailure("no answer in time", true)));
             boolean twice = sim.random.nextDouble() < repeat && address.startsWith("worker");
             for (int copy = 0; copy < (twice ? 2 : 1); copy++) {
                 sim.after(delay() + copy * sim.random.nextInt(8000), () -> deliver(owner, from, address, method, target, body, result));
@@ -200,11 +202,7 @@
             return; // executed, or not there; either way no answer comes
         }
         byte[] bytes = address.startsWith("node") ? Admin.write(reply.body()) : Pack.write(reply.body());
-        sim.after(delay(), () -> {
-            if (!owner.isDead()) {
-                result.complete(new HttpAnswer(reply.status(), bytes));
-            }
-        });
+        sim.after(delay(), () -> owner.arrive(() -> result.complete(new HttpAnswer(reply.status(), bytes))));
     }
 
     private StateStandIn.Reply reply(String address, String method, String target, JsonNode body, byte[] raw, WorkerStandIn w) {
@@ -219,6 +217,10 @@
             if (c == null) {
                 return null;
             }
+            if (processes[address.charAt(5) - '0'].frozen()) {
+                processes[address.charAt(5) - '0'].arrive(() -> c.heard(raw)); // its asker has given up by then
+                return null;
+            }
             return new StateStandIn.Reply(200, c.heard(raw));
         }
         return w == null || w.dead ? null : target.equals("/inspect") ? new StateStandIn.Reply(200, w.report()) : w.orders(body);
@@ -268,8 +270,9 @@
         for (int copy = 0; copy < lateCopies; copy++) {
             // A late copy arrives whatever has become of the machine meanwhile, and nobody hears what is answered to it.
             sim.after(2000 + sim.random.nextInt((int) latestCopy.toMillis()), () -> {
-                if (nodes[node] != null && !processes[node].isDead()) {
-                    receive(nodes[node], report, (status, body) -> { });
+                if (nodes[node] != null) {
+                    Controller late = nodes[node];
+                    processes[node].arrive(() -> receive(late, report, (status, body) -> { }));
                 }
             });
         }
@@ -283,11 +286,12 @@
                 answer.accept(0, Pack.map()); // its machine refuses the connection
                 return;
             }
-            receive(c, report, (status, body) -> sim.after(delay(), () -> {
-                if (!from.cut && !from.oneWay && !from.dead && sim.random.nextDouble() >= loss) {
+            Duration sentAt = sim.now();
+            target.arrive(() -> receive(c, report, (status, body) -> sim.after(delay(), () -> {
+                if (sim.now().minus(sentAt).compareTo(ANSWER_WITHIN) < 0 && !from.cut && !from.oneWay && !from.dead && sim.random.nextDouble() >= loss) {
                     answer.accept(status, body);
                 }
-            }));
+            })));
         });
     }
 
@@ -346,7 +350,7 @@
 
     private void ask(java.util.function.Consumer<FrontDesk> question, Runnable otherwise) {
         int i = sim.random.nextInt(3);
-        if (nodes[i] == null || !nodes[i].healthy()) {
+        if (nodes[i] == null || processes[i].frozen() || !nodes[i].healthy()) {
             sim.after(500, otherwise);
         } else {
             question.accept(nodes[i].frontDesk());
