A controller that has lost its workers steps aside; machines are asked before they are given up

Now a controller that hears almost none of its workers, and whose questions none answers, gives up its lease: the others take over as after a crash, workers are answered meanwhile under the stored token, and it comes back once a machine answers it. Machines given up are returned without a write before, which a mass failure has no room for.

--- a/src/main/java/org/dunespindle/bookkeeping/StateClient.java
+++ b/src/main/java/org/dunespindle/bookkeeping/StateClient.java
@@ -73,6 +73,11 @@
         });
     }
 
+    /** Ends a lease and removes what is attached to it. */
+    public void endLease(long lease) {
+        call(true, "DELETE", "/holds/" + lease, new byte[0]);
+    }
+
     /** Commits a transaction at once and charges its changes; whoever has many paces them. Never fails, see the result. */
     public CompletableFuture<TxnResult> commit(Txn txn) {
         var result = new CompletableFuture<TxnResult>();
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -79,6 +79,7 @@
     private long optionsStamp;
     private final Admin admin;
     private final Headroom headroom;
+    private final Hearing hearing;
     private final Histogram accepts = new Histogram(LONGEST_MICROS, 2);
     private final Histogram rounds = new Histogram(LONGEST_MICROS, 2);
     private final Histogram plans = new Histogram(LONGEST_MICROS, 2);
@@ -123,6 +124,7 @@
         this.gangs = new Gangs(settings, replica, committer, hostDesk, sessions, timeline, decisions, this::options);
         this.admin = new Admin(settings, replica, membership, committer, edits, decisions, this, new TreeMap<>(Map.of("decisionRound", rounds, "plan", plans, "stateCall", state.latency(),
                 "cloudCall", cloud.latency(), "holdPlacement", gangs.holdPlacement(), "replacement", gangs.replacement(), "accept", accepts)));
+        this.hearing = new Hearing(settings, replica, membership, hostDesk, peers, sessions, timeline, vigil, decisions);
         this.headroom = new Headroom(settings.objectives());
         this.frontDesk = new FrontDesk(settings, replica, state, committer, timeline, () -> catalog, accepts);
     }
@@ -204,6 +206,7 @@
 
     private void heartbeat() {
         vigil.beat();
+        hearing.tick();
         wake();
         timeline.after(ROUND_AT_LEAST_EVERY, this::heartbeat);
     }
@@ -248,7 +251,7 @@
     }
 
     private boolean takesTasks(HostRecord h) {
-        if (!hostDesk.ready(h) || fleet.bad(h.id())) {
+        if (!hostDesk.ready(h) || fleet.bad(h.id()) || fleet.leaves(h)) {
             return false;
         }
         Sessions.Session s = sessions.of(h.id());
@@ -369,10 +372,10 @@
             places.computeIfAbsent(h.id(), id -> new Planner.Place(h.type(), h.zone(), h.spot()));
             MachineType type = types.get(h.type());
             boolean mine = membership.owns(h);
-            if (type == null || h.leaving() || !mine && !leads) {
+            if (type == null || fleet.leaves(h) || !mine && !leads) {
                 continue;
             }
-            boolean up = mine ? takesTasks(h) : peers.machine(h).filter(m -> m.up() && !m.bad()).isPresent();
+            boolean up = mine ? takesTasks(h) : told(h).filter(m -> m.up() && !m.bad()).isPresent();
             if (up || fleet.booting(h) && fleet.bootsInTime(h)) {
                 hosts.add(new Planner.Host(h.id(), h.type(), h.zone(), h.spot(), type.size(), up, mine, sessions.known(h.id()).map(Sessions.Session::images).orElse(Set.of())));
             }
@@ -382,6 +385,14 @@
                 leads ? headroom.phantoms(options().spareJobs(), timeline.wallTime()) : List.of(), targets, leads ? progress(jobs) : p -> Duration.ZERO);
     }
 
+    /**
+     * A machine as its owner told: also while the owner, though it lives, cannot talk to this controller. Gangs would go without
+     * its machines until then; nothing is placed on one before it has been borrowed and has reported here.
+     */
+    private Optional<Peers.Machine> told(HostRecord h) {
+        return peers.machine(h).or(() -> membership.isAlive(h.owner(), h.incarnation()) ? peers.lastTold(h) : Optional.empty());
+    }
+
     /** How long tasks booked together have been under way: since they were first seen here, which is a little late or, after a start, much. */
     private Function<Planner.Started, Duration> progress(List<JobRecord> jobs) {
         Duration now = timeline.now();
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -39,6 +39,7 @@
     /** Most machines are up by then; on the others nothing is planned any more. */
     private static final int LATE_BOOT_TENTHS = 16;
     private static final Duration SURE_OF_LIST = Duration.ofSeconds(2);
+    private static final Duration ASKED_LATELY = Duration.ofSeconds(12);
     private static final Duration JUDGE_EVERY = Duration.ofMillis(900);
     private static final int FEWEST_FOR_CUT = 4;
     private static final int SMALL_FLEET = 30;
@@ -46,6 +47,8 @@
     private static final int MOST_SLOTS = 128;
     private static final int MOST_RETURNED = 100;
     private static final int MOST_RENTED = 50;
+    private static final int MOST_SPARED = 3;
+    private static final String FAILS = "it fails its tasks";
     private final Settings settings;
     private final Replica replica;
     private final Membership membership;
@@ -80,6 +83,15 @@
     private boolean returning;
     private long charters;
 
+    /** Machines that looked silent but answered when asked: how often in a row, and when last. */
+    private final Map<String, Spared> spared = new HashMap<>();
+    /** Machines that were asked for being silent, and since when it is known that they do not answer. */
+    private final Map<String, Duration> askedInVain = new HashMap<>();
+    /** Machines being returned without a word in their record: nobody places anything on what is silent. */
+    private final Set<String> dropped = new HashSet<>();
+
+    private record Spared(int times, Duration at) {}
+
     private record Command(long token, Duration since) {}
 
     private record Refusal(Duration until, Duration pause) {}
@@ -181,6 +193,9 @@
             firstSeen.clear();
             idleSince.clear();
             commands.clear();
+            spared.clear();
+            askedInVain.clear();
+            dropped.clear();
         }
     }
 
@@ -256,6 +271,9 @@
                     if (r instanceof TxnResult.Applied) {
                         firstSeen.remove(h.id());
                         commands.remove(h.id());
+                        askedInVain.remove(h.id());
+                        spared.remove(h.id());
+                        dropped.remove(h.id());
                         idleSince.remove(h.id());
                     }
                 });
@@ -264,15 +282,23 @@
     }
 
     /**
-     * A zone most of whose machines fell silent is cut off rather than dead. What runs there goes on as long as a controller in
+     * A zone most of whose machines fell silent, or a controller most of whose machines did, is cut off rather than all of them dead. What runs there goes on as long as a controller in
      * it may answer the workers, and their leases after that; replacing it all earlier would only lose the work.
      */
     private Duration cutPatience() {
         var w = settings.workers();
-        return w.cancel().compareTo(w.lease()) > 0 ? w.cancel() : w.lease();
+        return w.cancel().compareTo(w.lease()) > 0 ? w.cancel().plus(w.lease().dividedBy(2)) : w.lease().multipliedBy(3).dividedBy(2);
+    }
+
+    private static String ownerKey(HostRecord h) {
+        return "by " + h.owner();
+    }
+
+    private boolean cutOff(HostRecord h) {
+        return silentZones.contains(h.zone()) || silentZones.contains(ownerKey(h));
     }
 
-    private void findSilentZones(Duration now) {
+    private void findSilentZones() {
         var all = new HashMap<String, Integer>();
         var silent = new HashMap<String, Integer>();
         Duration limit = settings.workers().report().multipliedBy(2).plusSeconds(2);
@@ -281,6 +307,8 @@
             if (heard.isPresent() && !h.leaving()) {
                 all.merge(h.zone(), 1, Integer::sum);
                 silent.merge(h.zone(), vigil.silence(heard.get()).compareTo(limit) > 0 ? 1 : 0, Integer::sum);
+                all.merge(ownerKey(h), 1, Integer::sum);
+                silent.merge(ownerKey(h), vigil.silence(heard.get()).compareTo(limit) > 0 ? 1 : 0, Integer::sum);
             }
         }
         silentZones.clear();
@@ -292,9 +320,9 @@
     }
 
     private void judge(Duration now, Planner.Plan plan) {
-        findSilentZones(now);
+        findSilentZones();
         for (HostRecord h : List.copyOf(replica.hosts().values())) {
-            if (h.leaving() || isGone(h.id()) || edits.busy(h.id())) {
+            if (h.leaving() || isGone(h.id()) || edits.busy(h.id()) || dropped.contains(h.id())) {
                 continue;
             }
             boolean idle = replica.claimsOn(h.id()).isEmpty() && !plan.wantedHosts().contains(h.id());
@@ -303,7 +331,13 @@
             } else {
                 idleSince.putIfAbsent(h.id(), now);
             }
-            whyLeave(h, now).filter(why -> !why.equals(HostRecord.IDLE) || !edits.crowded()).ifPresent(why -> leave(h, why));
+            whyLeave(h, now).filter(why -> !why.equals(HostRecord.IDLE) || !edits.crowded()).ifPresent(why -> {
+                if (why.equals(HostRecord.IDLE) || why.equals(FAILS)) {
+                    leave(h, why);
+                } else {
+                    drop(h, why);
+                }
+            });
         }
     }
 
@@ -313,7 +347,7 @@
             return Optional.of("it failed");
         }
         if (peers.machine(h).filter(Peers.Machine::bad).isPresent() || bad(h.id())) {
-            return Optional.of("it fails its tasks");
+            return Optional.of(FAILS);
         }
         Duration silentLimit = options.get().silentBeforeReturn();
         Duration leading = vigil.silence(leadingSince.orElse(now));
@@ -331,16 +365,42 @@
         Duration limit = silentLimit.plus(ownerTalks ? Duration.ZERO : Duration.ofSeconds(25));
         // Whoever takes a machine over has not heard it yet, and what its earlier owner told last may be minutes old.
         Duration silence = vigil.silence(later(heard.get(), later(commandedSince(h, now), leadingSince.orElse(now))));
-        if (silence.compareTo(limit) > 0 && (!silentZones.contains(h.zone()) || silence.compareTo(cutPatience()) > 0)) {
+        spared.computeIfPresent(h.id(), (id, s) -> silence.compareTo(limit.dividedBy(2)) < 0 && now.minus(s.at).compareTo(limit) > 0 ? null : s);
+        if (silence.compareTo(limit) > 0 && (!cutOff(h) || silence.compareTo(cutPatience()) > 0) && !answersWhenAsked(h, now)) {
             return Optional.of("it has been silent for " + silence.toSeconds() + " s");
         }
-        if (membership.owns(h) && leading.compareTo(silentLimit) > 0 && hostDesk.oneWayFor(h.id()).filter(d -> d.compareTo(silentLimit) > 0).isPresent()) {
+        if (membership.owns(h) && silence.compareTo(settings.workers().report().multipliedBy(2)) < 0 && leading.compareTo(silentLimit) > 0 && hostDesk.oneWayFor(h.id()).filter(d -> d.compareTo(silentLimit) > 0).isPresent()) {
             return Optional.of("it reports but takes no commands");
         }
         Duration idle = now.minus(idleSince.getOrDefault(h.id(), now));
         return idle.compareTo(idleLimit(h.spot())) > 0 ? Optional.of(HostRecord.IDLE) : Optional.empty();
     }
 
+    /**
+     * Whether a machine that looks silent may live: it is asked itself before it is given up. Its owner may not be able to talk to
+     * this controller, or may not reach the machine; then others will be found to command it. One that answers again and again but
+     * whose reports reach nobody is of no use.
+     */
+    private boolean answersWhenAsked(HostRecord h, Duration now) {
+        Duration vain = askedInVain.get(h.id());
+        if (vain != null && now.minus(vain).compareTo(ASKED_LATELY) < 0 || spared.getOrDefault(h.id(), new Spared(0, now)).times >= MOST_SPARED) {
+            return false;
+        }
+        String address = peers.address(h).orElse(hostDesk.address(h));
+        if (address.isEmpty()) {
+            return false;
+        }
+        hostDesk.ask(h, address, yes -> {
+            if (yes) {
+                askedInVain.remove(h.id());
+                spared.merge(h.id(), new Spared(1, timeline.now()), (a, b) -> new Spared(a.times + 1, b.at));
+            } else {
+                askedInVain.put(h.id(), timeline.now());
+            }
+        });
+        return true;
+    }
+
     private Duration commandedSince(HostRecord h, Duration now) {
         return commands.compute(h.id(), (id, c) -> c != null && c.token == h.token() ? c : new Command(h.token(), now)).since;
     }
@@ -367,6 +427,20 @@
         edits.change(Committer.Lane.KEEPING, h.leaving(why), r -> { });
     }
 
+    /**
+     * Gives a machine back without storing that first, which during a mass failure saves half of the writes: nobody places
+     * anything on a machine that is not heard, and should its owner hear it again at the last moment, what it places there ends with it.
+     */
+    private void drop(HostRecord h, String why) {
+        decisions.tell(LOG, "machine {} is given back: {}", h.id(), why);
+        dropped.add(h.id());
+    }
+
+    /** Whether a machine is on its way out, though its record may not say so. */
+    boolean leaves(HostRecord h) {
+        return h.leaving() || dropped.contains(h.id()) || isGone(h.id());
+    }
+
     private void giveBack() {
         if (returning) {
             return;
@@ -376,7 +450,7 @@
             // Placements guard the record's stamp: once it says leaving and everything up to it is known, nothing new can come.
             boolean settled = h.leaving() && replica.syncedTo() >= replica.stamp(Keys.host(h.id())) && !isGone(h.id());
             boolean unused = replica.claimsOn(h.id()).isEmpty() || !h.leavesWhenEmpty();
-            if (settled && unused && hosts.size() < MOST_RETURNED) {
+            if ((settled && unused || dropped.contains(h.id()) && !isGone(h.id())) && hosts.size() < MOST_RETURNED) {
                 hosts.add(h.id());
             }
         }
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/Hearing.java
@@ -0,0 +1,156 @@
+package org.dunespindle.coordination;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import org.dunespindle.bookkeeping.HostRecord;
+import org.dunespindle.bookkeeping.Replica;
+import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.protocol.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Notices when this controller has lost its workers while it still reaches the state service and the other controllers. Then it
+ * steps aside, before its workers' leases end: the others take its machines, and the lead, as after a crash. Left
+ * in place it would hold machines that it cannot command, and take them for dead.
+ */
+final class Hearing {
+    private static final Logger LOG = LoggerFactory.getLogger(Hearing.class);
+    private static final Duration LATENESS = Duration.ofMillis(800);
+    private static final Duration VIEW = Duration.ofSeconds(3);
+    private static final Duration ASK_EVERY = Duration.ofSeconds(2);
+    private static final Duration AWAY_AT_MOST = Duration.ofSeconds(60);
+    private static final int ASKED = 5;
+    private static final double NEARLY_ALL = 0.8;
+    private final Settings settings;
+    private final Replica replica;
+    private final Membership membership;
+    private final HostDesk hostDesk;
+    private final Peers peers;
+    private final Sessions sessions;
+    private final Timeline timeline;
+    private final Vigil vigil;
+    private final Decisions decisions;
+    /** Reports come at this interval, give or take a quarter. */
+    private final Duration overdue;
+    private Optional<Duration> awaySince = Optional.empty();
+    private Duration askAgainAt = Duration.ZERO;
+
+    Hearing(Settings settings, Replica replica, Membership membership, HostDesk hostDesk, Peers peers, Sessions sessions, Timeline timeline, Vigil vigil, Decisions decisions) {
+        this.settings = settings;
+        this.replica = replica;
+        this.membership = membership;
+        this.hostDesk = hostDesk;
+        this.peers = peers;
+        this.sessions = sessions;
+        this.timeline = timeline;
+        this.vigil = vigil;
+        this.decisions = decisions;
+        this.overdue = settings.workers().report().multipliedBy(5).dividedBy(4).plus(LATENESS);
+    }
+
+    /** Called about twice a second. */
+    void tick() {
+        Duration now = timeline.now();
+        if (now.compareTo(askAgainAt) < 0) {
+            return;
+        }
+        if (awaySince.isPresent()) {
+            comeBack(now);
+        } else if (membership.joined() && replica.age().compareTo(VIEW) < 0 && vigil.awake().compareTo(overdue) > 0 && othersServe()) {
+            List<HostRecord> silent = silentOnes();
+            if (!silent.isEmpty()) {
+                askAgainAt = now.plus(ASK_EVERY);
+                ask(spread(silent), spread(known()), () -> stepAside(silent.size()));
+            }
+        }
+    }
+
+    private boolean othersServe() {
+        return settings.seeds().stream().anyMatch(s -> membership.incarnationOf(s.name()).isPresent() && peers.word(s.name()).filter(w -> w.viewAge().compareTo(VIEW) < 0).isPresent());
+    }
+
+    /** The silent ones of the machines that have reported under this controller's command; none unless nearly all are. */
+    private List<HostRecord> silentOnes() {
+        var silent = new ArrayList<HostRecord>();
+        int all = 0;
+        for (HostRecord h : replica.hosts().values()) {
+            Optional<Sessions.Session> s = membership.owns(h) && !h.leaving() ? sessions.known(h.id()) : Optional.empty();
+            if (s.isPresent() && s.get().heardAt.isPresent() && s.get().report.filter(r -> r.token() == h.token()).isPresent()) {
+                all++;
+                if (vigil.silence(s.get().heardAt.get()).compareTo(overdue) > 0) {
+                    silent.add(h);
+                }
+            }
+        }
+        return !silent.isEmpty() && silent.size() >= NEARLY_ALL * all ? silent : List.of();
+    }
+
+    /** Machines of any controller that have been heard here. */
+    private List<HostRecord> known() {
+        var known = new ArrayList<HostRecord>();
+        replica.hosts().values().stream().filter(h -> sessions.known(h.id()).filter(s -> s.report.isPresent()).isPresent()).forEach(known::add);
+        return known;
+    }
+
+    private static List<HostRecord> spread(List<HostRecord> hosts) {
+        int count = Math.min(ASKED, hosts.size());
+        var some = new ArrayList<HostRecord>();
+        for (int i = 0; i < count; i++) {
+            some.add(hosts.get(i * hosts.size() / count));
+        }
+        return some;
+    }
+
+    /** Asks own machines and any; only if none at all answers is it this controller that is cut off, rather than some machines gone. */
+    private void ask(List<HostRecord> silent, List<HostRecord> any, Runnable noneAnswered) {
+        var hosts = new LinkedHashSet<>(silent);
+        hosts.addAll(any);
+        var open = new int[] {hosts.size()};
+        var answered = new boolean[1];
+        for (HostRecord h : hosts) {
+            hostDesk.ask(h, hostDesk.address(h), yes -> {
+                answered[0] |= yes;
+                if (--open[0] == 0 && !answered[0]) {
+                    noneAnswered.run();
+                }
+            });
+        }
+    }
+
+    private void stepAside(int silent) {
+        if (!membership.joined() || !othersServe()) {
+            return;
+        }
+        decisions.tell(LOG, "none of {} workers is heard or reached from here; this controller steps aside", silent);
+        awaySince = Optional.of(timeline.now());
+        membership.stepAside();
+    }
+
+    private void comeBack(Duration now) {
+        askAgainAt = now.plus(ASK_EVERY);
+        boolean alone = replica.members().isEmpty() && replica.age().compareTo(VIEW) < 0;
+        if (alone || now.minus(awaySince.get()).compareTo(AWAY_AT_MOST) > 0) {
+            back("nobody else serves");
+            return;
+        }
+        for (HostRecord h : spread(known())) {
+            hostDesk.ask(h, hostDesk.address(h), yes -> {
+                if (yes) {
+                    back("workers answer again");
+                }
+            });
+        }
+    }
+
+    private void back(String why) {
+        if (awaySince.isPresent()) {
+            awaySince = Optional.empty();
+            decisions.tell(LOG, "{}; this controller takes part again", why);
+            membership.comeBack();
+        }
+    }
+}
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -250,20 +250,34 @@
 
     /** Asks a worker itself: only an answer shows that it is there, and that commands from here reach it. */
     private void verify(WorkerReport r, Sessions.Session session, Consumer<Boolean> then) {
+        verify(r.host(), r.address(), session, then);
+    }
+
+    private void verify(String host, String address, Sessions.Session session, Consumer<Boolean> then) {
         if (underWay >= mostCalls) {
             then.accept(false);
             return;
         }
         session.verifying = true;
         underWay++;
-        http.send(r.address(), "GET", "/inspect", new byte[0], Pack.TYPE, INSPECT_TIMEOUT).whenComplete((a, e) -> {
+        http.send(address, "GET", "/inspect", new byte[0], Pack.TYPE, INSPECT_TIMEOUT).whenComplete((a, e) -> {
             session.verifying = false;
             underWay--;
             nextInLine();
-            then.accept(a != null && a.status() == 200 && answered(r.host(), session, a.body()));
+            then.accept(a != null && a.status() == 200 && answered(host, session, a.body()));
         });
     }
 
+    /** Asks a machine itself whether it is there; false if it cannot be asked now. */
+    boolean ask(HostRecord record, String address, Consumer<Boolean> then) {
+        Sessions.Session s = sessions.of(record.id());
+        if (address.isEmpty() || s.verifying || underWay >= mostCalls) {
+            return false;
+        }
+        verify(record.id(), address, s, then);
+        return true;
+    }
+
     /**
      * A worker that reports here though another controller owns its machine is sent there. When it comes
      * back soon, it could not reach the owner (a cut zone, a crash): then the machine changes hands. Late copies of
@@ -317,7 +331,8 @@
         edits.change(Committer.Lane.PLACING, mine.above(seen), then);
     }
 
-    private String address(HostRecord record) {
+    /** Where a machine is reached, as far as known here. */
+    String address(HostRecord record) {
         return sessions.known(record.id()).flatMap(s -> s.report).map(WorkerReport::address).orElse(record.address());
     }
 
--- a/src/main/java/org/dunespindle/coordination/Membership.java
+++ b/src/main/java/org/dunespindle/coordination/Membership.java
@@ -36,6 +36,7 @@
     private long incarnation;
     private OptionalLong lease = OptionalLong.empty();
     private boolean joining;
+    private boolean aside;
     private boolean electing;
 
     public Membership(String node, StateClient state, Replica replica, Timeline timeline) {
@@ -51,7 +52,7 @@
 
     /** Whether this process has an incarnation and a member key. */
     public boolean joined() {
-        return incarnation > 0 && lease.isPresent() && isAlive(node, incarnation);
+        return incarnation > 0 && !aside && lease.isPresent() && isAlive(node, incarnation);
     }
 
     public boolean isAlive(String name, long inc) {
@@ -126,13 +127,24 @@
         if (!replica.loaded()) {
             return;
         }
-        if (!joining && (incarnation == 0 || lease.isEmpty())) {
+        if (!aside && !joining && (incarnation == 0 || lease.isEmpty())) {
             join();
         } else if (joined()) {
             elect();
         }
     }
 
+    /** Gives up the lease, and all that hangs on it, until it is asked back; an answer that stays out changes nothing: the lease ends by itself. */
+    void stepAside() {
+        aside = true;
+        lease.ifPresent(state::endLease);
+        lease = OptionalLong.empty();
+    }
+
+    void comeBack() {
+        aside = false;
+    }
+
     private void join() {
         joining = true;
         if (incarnation == 0) {
@@ -185,12 +197,15 @@
     }
 
     private void renew(long id) {
+        if (lease.isEmpty() || lease.getAsLong() != id) {
+            return; // given up
+        }
         state.renewLease(id).whenComplete((alive, failure) -> {
             if (failure != null) {
                 timeline.after(RETRY, () -> renew(id));
             } else if (alive) {
                 scheduleRenewal(id);
-            } else {
+            } else if (lease.isPresent() && lease.getAsLong() == id) {
                 LOG.info("{} lost its membership lease; joining again", node);
                 lease = OptionalLong.empty();
             }
--- a/src/main/java/org/dunespindle/coordination/Peers.java
+++ b/src/main/java/org/dunespindle/coordination/Peers.java
@@ -87,6 +87,11 @@
         return word(host.owner()).isEmpty() ? Optional.empty() : told(host.owner(), host.id()).filter(m -> m.token == host.token());
     }
 
+    /** The same however old it is: for an owner that lives but cannot talk to this controller. */
+    public Optional<Machine> lastTold(HostRecord host) {
+        return told(host.owner(), host.id()).filter(m -> m.token == host.token());
+    }
+
     private Optional<Machine> told(String node, String host) {
         return Optional.ofNullable(heard.get(node)).map(h -> h.machines.get(host));
     }
--- a/src/test/java/org/dunespindle/sim/StateStandIn.java
+++ b/src/test/java/org/dunespindle/sim/StateStandIn.java
@@ -53,7 +53,8 @@
             if (!leases.containsKey(id)) {
                 return new Reply(404, Pack.map());
             }
-            leases.put(id, sim.now().plusMillis(ttl.get(id)));
+            leases.put(id, method.equals("DELETE") ? sim.now().minusMillis(1) : sim.now().plusMillis(ttl.get(id)));
+            expire();
             return new Reply(200, Pack.map());
         }
         if (path.equals("/watch")) {
--- a/src/test/java/org/dunespindle/sim/TroubleTest.java
+++ b/src/test/java/org/dunespindle/sim/TroubleTest.java
@@ -287,4 +287,49 @@
         assertEquals(List.of(), used.stream().filter(WorkerStandIn::dead).map(WorkerStandIn::id).toList(), "given back");
         assertEquals(List.of(), world.broken);
     }
+
+    /** It would keep the lead and its machines, answer for neither, and give the machines back as silent. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void aControllerThatHasLostItsWorkersStepsAside(int offset) {
+        var world = new World(171, 7, 10);
+        world.submit(WorldTest.job("wk-000001", "red", Shape.SERVICE, 10, false, false));
+        world.submit(WorldTest.job("wk-000002", "blue", Shape.SERVICE, 6, false, false));
+        world.sim.run(Duration.ofSeconds(70));
+        List<WorkerStandIn> used = world.alive().stream().filter(w -> w.tasks().iterator().hasNext()).toList();
+        assertTrue(!used.isEmpty());
+        int deaf = (world.leader() + offset) % 3;
+        world.deafNode = deaf;
+        world.sim.run(Duration.ofSeconds(110));
+        if (offset == 0) {
+            assertTrue(world.leader() >= 0 && world.leader() != deaf, "it still leads");
+        }
+        assertEquals(List.of(), used.stream().filter(WorkerStandIn::dead).map(WorkerStandIn::id).toList(), "given back");
+        assertEquals(List.of(), used.stream().filter(w -> w.session() > 1).map(WorkerStandIn::id).toList(), "leases that ran out");
+        world.deafNode = -1;
+        world.sim.run(Duration.ofSeconds(125));
+        assertTrue(world.admin(deaf, "GET", "/v1/controllers", "").join().body().toString().contains("n" + deaf), "it does not take part again");
+        List<String> ids = List.of("wk-000003", "wk-000004");
+        ids.forEach(id -> world.submit(WorldTest.job(id, "red", Shape.ARRAY, 2, false, false)));
+        world.sim.run(Duration.ofSeconds(200));
+        assertEquals(List.of(), world.broken);
+    }
+
+    /** The leader hears nothing of the others' machines for far longer than a lease; the others hear them all the time. */
+    @ParameterizedTest
+    @ValueSource(longs = {181, 182, 183})
+    void machinesOfControllersThatCannotTalkToTheLeaderAreKept(long seed) {
+        var world = new World(seed, 7, 10);
+        world.submit(WorldTest.job("wk-000001", "red", Shape.SERVICE, 10, false, false));
+        world.submit(WorldTest.job("wk-000002", "blue", Shape.SERVICE, 6, false, false));
+        world.sim.run(Duration.ofSeconds(70));
+        List<WorkerStandIn> used = world.alive().stream().filter(w -> w.tasks().iterator().hasNext()).toList();
+        world.peersRefuse = true;
+        world.sim.run(Duration.ofSeconds(150));
+        assertEquals(List.of(), used.stream().filter(WorkerStandIn::dead).map(WorkerStandIn::id).toList(), "given back");
+        world.peersRefuse = false;
+        world.submit(WorldTest.job("wk-000003", "red", Shape.GANG, 3, false, false));
+        world.sim.run(Duration.ofSeconds(200));
+        assertEquals(List.of(), world.broken);
+    }
 }
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -58,6 +58,10 @@
     private final Set<String> blocked = new HashSet<>();
     /** A controller that reaches neither the state service nor the others, only its workers; or -1. */
     public int isolatedNode = -1;
+    /** A controller that reaches no worker and is reached by none, though by everybody else; or -1. */
+    public int deafNode = -1;
+    /** Controllers don't reach one another. */
+    public boolean peersRefuse;
     /** How many more copies of a report come late, and how late at most. */
     public int lateCopies;
     public Duration latestCopy = Duration.ofSeconds(25);
@@ -181,7 +185,10 @@
             sim.after(500, () -> deliver(owner, from, address, method, target, body, result)); // held back, delivered late
             return;
         }
-        if (w != null && (blocked.contains(from + w.id) || w.oneWay)) {
+        if (w != null && (blocked.contains(from + w.id) || w.oneWay || from == deafNode)) {
+            return;
+        }
+        if (address.startsWith("node") && peersRefuse) {
             return;
         }
         if (address.startsWith("state") && from == isolatedNode || address.startsWith("node") && (from == isolatedNode || address.endsWith(":" + isolatedNode))) {
@@ -279,7 +286,7 @@
         Sim.Process target = processes[node];
         Controller c = nodes[node];
         sim.after(delay(), () -> {
-            if (from.cut || from.dead || blocked.contains(node + from.id)) {
+            if (from.cut || from.dead || node == deafNode || blocked.contains(node + from.id)) {
                 return;
             }
             if (c == null || target.isDead()) {
--- /dev/null
+++ b/src/test/java/org/dunespindle/transport/HttpCallerTest.java
@@ -0,0 +1,104 @@
+package org.dunespindle.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.Channel;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** Limits of what is taken in and kept open, over real sockets. */
+class HttpCallerTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+    private static final NioEventLoopGroup GROUP = new NioEventLoopGroup(1);
+    private static final AtomicInteger ASKED = new AtomicInteger();
+    private static Channel server;
+    private static String address;
+
+    @BeforeAll
+    static void start() throws Exception {
+        server = HttpListener.open(GROUP, new InetSocketAddress("127.0.0.1", 0), 1 << 16, (call, answer) -> {
+            ASKED.incrementAndGet();
+            int length = Integer.parseInt(call.path().substring(1));
+            answer.accept(new HttpReply(200, "text/plain", new byte[length], Optional.empty(), call.query().equals("last")));
+        }, status -> new HttpReply(status, "text/plain", new byte[0], Optional.empty()), new Sockets(100));
+        address = "127.0.0.1:" + ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    @AfterAll
+    static void stop() {
+        server.close();
+        GROUP.shutdownGracefully();
+    }
+
+    private static HttpAnswer get(HttpCaller http, int length) throws Exception {
+        return GROUP.next().submit(() -> http.send(address, "GET", "/" + length, new byte[0], "text/plain", PATIENCE)).get().get();
+    }
+
+    @Test
+    void anAnswerThatIsTooLongIsToldApartAndTheNextOneIsRead() throws Exception {
+        var http = new HttpCaller(GROUP.next(), 4, new Sockets(100));
+        assertEquals(1 << 20, get(http, 1 << 20).body().length);
+        var failure = assertThrows(ExecutionException.class, () -> get(http, 5 << 20));
+        assertInstanceOf(AnswerTooLong.class, failure.getCause());
+        assertEquals(5, get(http, 5).body().length);
+    }
+
+    /** A process that stood still finds connects that completed meanwhile before its timers: what it meant to send is out of date. */
+    @Test
+    void aConnectThatCompletesAfterItsTimeSendsNothing() throws Exception {
+        var http = new HttpCaller(GROUP.next(), 4, new Sockets(100));
+        int before = ASKED.get();
+        var call = GROUP.next().submit(() -> {
+            var result = http.send(address, "GET", "/7", new byte[0], "text/plain", Duration.ofMillis(1));
+            Thread.sleep(60); // the loop itself stands still
+            return result;
+        }).get();
+        var failure = assertThrows(ExecutionException.class, call::get);
+        assertEquals(false, ((CallFailure) failure.getCause()).sent());
+        assertEquals(3, get(http, 3).body().length);
+        assertEquals(before + 1, ASKED.get());
+    }
+
+    @Test
+    void whileSocketsAreScarceNoneIsKeptIdle() throws Exception {
+        var sockets = new Sockets(60);
+        var http = new HttpCaller(GROUP.next(), 4, sockets);
+        get(http, 1);
+        assertEquals(false, sockets.scarce());
+        for (int i = 0; i < 40; i++) {
+            GROUP.next().submit(sockets::opened).get();
+        }
+        assertTrue(sockets.scarce());
+        get(http, 1);
+        for (int i = 0; i < 40; i++) {
+            GROUP.next().submit(sockets::closed).get();
+        }
+        // 30 connections are scarce here: with one kept idle, 29 more would be.
+        for (int i = 0; i < 29; i++) {
+            GROUP.next().submit(sockets::opened).get();
+        }
+        assertEquals(false, sockets.scarce());
+    }
+
+    @Test
+    void theLastAnswerEndsTheConnection() throws Exception {
+        try (var socket = new Socket("127.0.0.1", ((InetSocketAddress) server.localAddress()).getPort())) {
+            socket.setSoTimeout((int) PATIENCE.toMillis());
+            socket.getOutputStream().write("GET /3?last HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(answer.toLowerCase().contains("connection: close"), answer);
+        }
+    }
+}
