--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -304,11 +304,14 @@
         Duration limit = settings.workers().report().multipliedBy(2).plusSeconds(2);
         for (HostRecord h : replica.hosts().values()) {
             Optional<Duration> heard = heard(h);
-            if (heard.isPresent() && !h.leaving()) {
-                all.merge(h.zone(), 1, Integer::sum);
-                silent.merge(h.zone(), vigil.silence(heard.get()).compareTo(limit) > 0 ? 1 : 0, Integer::sum);
-                all.merge(ownerKey(h), 1, Integer::sum);
-                silent.merge(ownerKey(h), vigil.silence(heard.get()).compareTo(limit) > 0 ? 1 : 0, Integer::sum);
+            // One that this leader never heard, though it must have been up for long, is as silent as one that fell silent.
+            boolean known = heard.isPresent() || age(h).compareTo(bootTime(h).multipliedBy(LATE_BOOT_TENTHS).dividedBy(10).plus(limit)) > 0;
+            if (known && !h.leaving()) {
+                boolean isSilent = vigil.silence(heard.orElse(leadingSince.orElse(timeline.now()))).compareTo(limit) > 0;
+                for (String group : List.of(h.zone(), ownerKey(h))) {
+                    all.merge(group, 1, Integer::sum);
+                    silent.merge(group, isSilent ? 1 : 0, Integer::sum);
+                }
             }
         }
         silentZones.clear();
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -127,7 +127,14 @@
         reports++;
         Sessions.Session session = sessions.of(r.host());
         Optional<WorkerReport> before = session.report;
-        boolean newer = session.accept(r, timeline.now());
+        Duration now = timeline.now();
+        boolean wasSilent = session.heardAt.filter(t -> vigil.silence(t).compareTo(settings.workers().report().multipliedBy(2).plusSeconds(2)) > 0).isPresent();
+        boolean newer = session.accept(r, now);
+        if (newer && wasSilent && session.unprovenSince.isPresent()) {
+            // After a cut: that no command arrived meanwhile does not show that none does now.
+            session.unprovenSince = Optional.of(now);
+            session.callAgainAt = now;
+        }
         HostRecord record = replica.hosts().get(r.host());
         if (replica.loaded() && keepsAlive(r, record, answer)) {
             return;
--- a/src/test/java/org/dunespindle/sim/TroubleTest.java
+++ b/src/test/java/org/dunespindle/sim/TroubleTest.java
@@ -332,4 +332,22 @@
         world.sim.run(Duration.ofSeconds(200));
         assertEquals(List.of(), world.broken);
     }
+
+    /** Held reports arrive all at once when a cut ends; that commands did not arrive before says nothing about after. */
+    @ParameterizedTest
+    @ValueSource(longs = {191, 192, 193})
+    void machinesAreKeptWhenTheirCutEnds(long seed) {
+        var world = new World(seed, 7, 10);
+        world.submit(WorldTest.job("wk-000001", "red", Shape.SERVICE, 10, false, false));
+        world.submit(WorldTest.job("wk-000002", "blue", Shape.SERVICE, 6, false, false));
+        world.sim.run(Duration.ofSeconds(70));
+        List<WorkerStandIn> cut = world.alive().stream().filter(w -> w.zone.equals(world.worker(0).zone)).toList();
+        List<WorkerStandIn> used = cut.stream().filter(w -> w.tasks().iterator().hasNext()).toList();
+        assertTrue(cut.size() >= 4 && !used.isEmpty());
+        cut.forEach(w -> world.cut(w, Duration.ofSeconds(27)));
+        world.crash(world.leader(), Duration.ofSeconds(8)); // the next one takes machines over that it cannot command yet
+        world.sim.run(Duration.ofSeconds(125));
+        assertEquals(List.of(), used.stream().filter(WorkerStandIn::dead).map(WorkerStandIn::id).toList(), "given back");
+        assertEquals(List.of(), world.broken);
+    }
 }
