--- a/src/main/java/org/dunespindle/bookkeeping/Replica.java
+++ b/src/main/java/org/dunespindle/bookkeeping/Replica.java
@@ -154,6 +154,11 @@
         return txn.write(pageKey, node);
     }
 
+    /** Machines that claims are on, whether or not they have a record. */
+    public Set<String> hostsWithClaims() {
+        return byHost.keySet();
+    }
+
     public List<Placed> claimsOn(String host) {
         return byHost.getOrDefault(host, List.of());
     }
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -49,7 +49,7 @@
     private static final Duration GATHER_AT_MOST = Duration.ofSeconds(3);
     private static final Duration TELL_LOAD_EVERY = Duration.ofSeconds(10);
     private static final int ROUND_SHARE = 4;
-    private static final int PLAN_SHARE = 8;
+    private static final int PLAN_SHARE = 10;
     private static final int RECORD_RESERVE = 1600;
     private static final int RECORD_PER_TASK = 22;
     private static final long LONGEST_MICROS = 60_000_000L;
@@ -320,12 +320,11 @@
     /** Claims on machines that the cloud confirmed as gone, or that have no record any more, which comes later still. */
     private List<Reconciler.Event> onGoneMachines() {
         var events = new ArrayList<Reconciler.Event>();
-        Set<String> gone = fleet.gone();
-        for (JobRecord j : replica.livingJobs()) {
-            for (Claim c : j.claims()) {
-                if (gone.contains(c.host()) || !replica.hosts().containsKey(c.host())) {
-                    events.add(new Reconciler.Event(j.id(), c.task(), c.base(), Reconciler.Fate.GONE, "its machine " + c.host() + " is gone"));
-                }
+        var hosts = new ArrayList<>(fleet.gone());
+        replica.hostsWithClaims().stream().filter(h -> !replica.hosts().containsKey(h) && !fleet.isGone(h)).forEach(hosts::add);
+        for (String host : hosts) {
+            for (Replica.Placed p : replica.claimsOn(host)) {
+                events.add(new Reconciler.Event(p.job().id(), p.claim().task(), p.claim().base(), Reconciler.Fate.GONE, "its machine " + host + " is gone"));
             }
         }
         return events;
@@ -367,6 +366,7 @@
         replica.livingJobs().forEach(j -> jobs.add(placements.ahead(j)));
         headroom.observe(jobs);
         var hosts = new ArrayList<Planner.Host>();
+        var trusted = new HashMap<String, Boolean>();
         places.keySet().retainAll(replica.hosts().keySet());
         for (HostRecord h : replica.hosts().values()) {
             places.computeIfAbsent(h.id(), id -> new Planner.Place(h.type(), h.zone(), h.spot()));
@@ -375,7 +375,7 @@
             if (type == null || fleet.leaves(h) || !mine && !leads) {
                 continue;
             }
-            boolean up = mine ? takesTasks(h) : told(h).filter(m -> m.up() && !m.bad()).isPresent();
+            boolean up = mine ? takesTasks(h) : told(h, trusted).filter(m -> m.up() && !m.bad()).isPresent();
             if (up || fleet.booting(h) && fleet.bootsInTime(h)) {
                 hosts.add(new Planner.Host(h.id(), h.type(), h.zone(), h.spot(), type.size(), up, mine, sessions.known(h.id()).map(Sessions.Session::images).orElse(Set.of())));
             }
@@ -389,8 +389,9 @@
      * A machine as its owner told: also while the owner, though it lives, cannot talk to this controller. Gangs would go without
      * its machines until then; nothing is placed on one before it has been borrowed and has reported here.
      */
-    private Optional<Peers.Machine> told(HostRecord h) {
-        return peers.machine(h).or(() -> membership.isAlive(h.owner(), h.incarnation()) ? peers.lastTold(h) : Optional.empty());
+    private Optional<Peers.Machine> told(HostRecord h, Map<String, Boolean> trusted) {
+        boolean trust = trusted.computeIfAbsent(h.owner(), o -> peers.word(o).isPresent()) || membership.isAlive(h.owner(), h.incarnation());
+        return trust ? peers.lastTold(h) : Optional.empty();
     }
 
     /** How long tasks booked together have been under way: since they were first seen here, which is a little late or, after a start, much. */
--- a/src/main/java/org/dunespindle/coordination/Gangs.java
+++ b/src/main/java/org/dunespindle/coordination/Gangs.java
@@ -119,11 +119,8 @@
 
     /** On every controller: from a machine about to be taken away, work that can save is stopped in time, gangs as a whole. */
     void drainNoticed() {
-        for (Map.Entry<String, Sessions.Session> e : sessions.all().entrySet()) {
-            if (e.getValue().report.flatMap(r -> r.notice()).isEmpty()) {
-                continue;
-            }
-            HostRecord h = replica.hosts().get(e.getKey());
+        for (String host : hostDesk.noticed()) {
+            HostRecord h = replica.hosts().get(host);
             if (h == null || !hostDesk.commands(h)) {
                 continue;
             }
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -70,6 +70,7 @@
     /** Views older than this no longer entitle: a cancellation told elsewhere may be unknown here. */
     private final Duration viewLimit;
     private Set<String> due = new LinkedHashSet<>();
+    private final Set<String> noticed = new LinkedHashSet<>();
     private final Set<String> withEvents = new LinkedHashSet<>();
     private long version;
     private long reports;
@@ -117,6 +118,12 @@
         return withEvents;
     }
 
+    /** Machines that are about to be taken away, as they last reported. */
+    public Set<String> noticed() {
+        noticed.removeIf(h -> sessions.known(h).flatMap(s -> s.report).flatMap(WorkerReport::notice).isEmpty());
+        return noticed;
+    }
+
     /** Asks for a machine to be looked at in the next pass. */
     public void attend(String host) {
         due.add(host);
@@ -128,12 +135,17 @@
         Sessions.Session session = sessions.of(r.host());
         Optional<WorkerReport> before = session.report;
         Duration now = timeline.now();
-        boolean wasSilent = session.heardAt.filter(t -> vigil.silence(t).compareTo(settings.workers().report().multipliedBy(2).plusSeconds(2)) > 0).isPresent();
+        boolean wasSilent = session.heardAt.filter(t -> vigil.silence(t).compareTo(settings.workers().report().multipliedBy(2).plusSeconds(2)) < 0).isEmpty();
         boolean newer = session.accept(r, now);
+        if (r.notice().isPresent()) {
+            noticed.add(r.host());
+        }
         if (newer && wasSilent && session.unprovenSince.isPresent()) {
-            // After a cut: that no command arrived meanwhile does not show that none does now.
+            // After a cut, or when it has just found its way here: that no command arrived before does not show that none does now.
             session.unprovenSince = Optional.of(now);
             session.callAgainAt = now;
+            due.add(r.host());
+            changed.run();
         }
         HostRecord record = replica.hosts().get(r.host());
         if (replica.loaded() && keepsAlive(r, record, answer)) {
@@ -590,6 +602,9 @@
             WorkerReport r = WorkerReport.parse(Pack.read(body));
             if (r.host().equals(host)) {
                 s.accept(r, timeline.now());
+                if (r.notice().isPresent()) {
+                    noticed.add(host);
+                }
                 s.answered(timeline.now());
                 return true;
             }
