--- a/src/main/java/org/dunespindle/coordination/Committer.java
+++ b/src/main/java/org/dunespindle/coordination/Committer.java
@@ -68,6 +68,11 @@
         return lanes.values().stream().mapToInt(ArrayDeque::size).sum();
     }
 
+    /** Changes of one lane that wait for their turn. */
+    public int waiting(Lane lane) {
+        return lanes.get(lane).size();
+    }
+
     /** Changes committed or tried so far. */
     public long written() {
         return written;
--- a/src/main/java/org/dunespindle/coordination/FrontDesk.java
+++ b/src/main/java/org/dunespindle/coordination/FrontDesk.java
@@ -25,6 +25,8 @@
     private static final Duration SOON = Duration.ofSeconds(1);
     private static final Duration LATER = Duration.ofSeconds(3);
     private static final Duration LOCK_WAIT = Duration.ofMillis(40);
+    private static final int LEAST_WAITING = 32;
+    private static final int WAITING_SECONDS = 2;
     private static final Duration PATIENCE = Duration.ofMillis(1800);
     private final Settings settings;
     private final Replica replica;
@@ -33,6 +35,8 @@
     private final Timeline timeline;
     private final Supplier<Optional<List<MachineType>>> catalog;
     private final Histogram accepts;
+    /** What waits longer than its user does is of no use; cancellations may still wait when submissions may not. */
+    private final int mostWaiting;
 
     /** An answer before it is put on the wire. */
     public record Answer(int status, ObjectNode body, Optional<Duration> retryAfter) {
@@ -57,6 +61,7 @@
         this.timeline = timeline;
         this.catalog = catalog;
         this.accepts = accepts;
+        this.mostWaiting = Math.max(LEAST_WAITING, (int) (settings.state().writeRps() * WAITING_SECONDS));
     }
 
     public void submit(byte[] body, Consumer<Answer> answer) {
@@ -101,6 +106,10 @@
             answer.accept(Answer.later("the same submission is being stored", SOON));
             return;
         }
+        if (committer.waiting(Committer.Lane.USERS) >= mostWaiting) {
+            answer.accept(Answer.later("more submissions wait than can be stored in time", LATER));
+            return;
+        }
         Duration begun = timeline.now();
         committer.propose(Committer.Lane.USERS, new Txn().guard(key, 0).write(key, record.toNode()), r -> {
             accepts.recordValue(Math.min(60_000_000L, timeline.now().minus(begun).toNanos() / 1000));
@@ -182,6 +191,8 @@
                 answer.accept(show(known.get()));
             } else if (committer.isLocked(key)) {
                 again(id, until, answer);
+            } else if (committer.waiting(Committer.Lane.USERS) >= 2 * mostWaiting) {
+                answer.accept(Answer.later("more requests wait than can be stored in time", LATER));
             } else {
                 committer.propose(Committer.Lane.USERS, new Txn().guard(key, replica.stamp(key)).write(key, known.get().cancelled().toNode()), r -> {
                     if (r instanceof TxnResult.Applied) {
--- a/src/main/java/org/dunespindle/protocol/Settings.java
+++ b/src/main/java/org/dunespindle/protocol/Settings.java
@@ -59,27 +59,41 @@
     public static Settings parse(JsonNode root) throws MalformedException {
         var seeds = new ArrayList<Seed>();
         for (JsonNode s : root.path("seeds")) {
-            seeds.add(new Seed(text(s, "seeds.", "node_name"), s.path("area").asText(""), text(s, "seeds.", "address")));
+            String address = text(s, "seeds.", "address");
+            if (!address.matches(".+:\\d{1,5}")) {
+                throw new MalformedException("seeds.address must be address:port, not " + address);
+            }
+            seeds.add(new Seed(text(s, "seeds.", "node_name"), s.path("area").asText(""), address));
         }
         JsonNode d = table(root, "deployment");
         var teams = new LinkedHashMap<String, Team>();
         for (JsonNode t : d.path("teams")) {
             String at = "deployment.teams.";
             String name = text(t, at, "name");
-            teams.put(name, new Team(name, amount(t, at, "cpus"), limit(amount(t, at, "cpus_max")), amount(t, at, "gpus"), limit(amount(t, at, "gpus_max"))));
+            var team = new Team(name, amount(t, at, "cpus"), limit(amount(t, at, "cpus_max")), amount(t, at, "gpus"), limit(amount(t, at, "gpus_max")));
+            if (team.cpus > team.cpusMax || team.gpus > team.gpusMax) {
+                throw new MalformedException(at + (team.gpus > team.gpusMax ? "gpus" : "cpus") + " of " + name + " is above its limit");
+            }
+            if (teams.put(name, team) != null) {
+                throw new MalformedException(at + "name " + name + " occurs twice");
+            }
         }
         if (teams.isEmpty()) {
             throw new MalformedException("deployment.teams is missing");
         }
         var objectives = new ArrayList<Objective>();
         for (JsonNode o : d.path("objectives")) {
-            objectives.add(new Objective(o.path("kind").asText(""), o.path("class").asText(""), seconds(o.path("within_s").asDouble(0)), o.path("share").asDouble(0), o.path("times").asDouble(1)));
+            objectives.add(new Objective(o.path("kind").asText(""), o.path("class").asText(""), seconds(optional(o, "deployment.objectives.", "within_s", 0)), optional(o, "deployment.objectives.", "share", 0),
+                    optional(o, "deployment.objectives.", "times", 1)));
         }
         var zones = new ArrayList<String>();
         d.path("zones").forEach(z -> zones.add(z.asText()));
         JsonNode w = table(d, "workers");
         String at = "deployment.workers.";
         var workers = new Workers(duration(w, at, "report_s"), duration(w, at, "lease_s"), duration(w, at, "gang_wait_s"), duration(w, at, "gang_peer_s"), duration(w, at, "cancel_s"));
+        if (workers.report.compareTo(workers.lease) >= 0) {
+            throw new MalformedException(at + "lease_s must be longer than report_s");
+        }
         JsonNode s = table(d, "state");
         var state = new State(positive(s, "deployment.state.", "rps"), positive(s, "deployment.state.", "write_rps"),
                 (int) (positive(s, "deployment.state.", "value_kb") * 1024), (int) positive(s, "deployment.state.", "txn_ops"));
@@ -92,7 +106,7 @@
         socket("outside.state", stateAddress);
         return new Settings(text(root, "", "node_name"), root.path("area").asText(""), socket("front", text(root, "", "front")), socket("peer_listen", text(root, "", "peer_listen")),
                 List.copyOf(seeds), cloudAddress, stateAddress, List.copyOf(zones), Map.copyOf(teams), List.copyOf(objectives), workers, state, cloud,
-                d.path("resources").path("fd_limit").asInt(DEFAULT_SOCKETS));
+                (int) Math.max(1, optional(d.path("resources"), "deployment.resources.", "fd_limit", DEFAULT_SOCKETS)));
     }
 
     private static double limit(double value) {
@@ -123,6 +137,10 @@
         return v.doubleValue();
     }
 
+    private static double optional(JsonNode n, String at, String name, double otherwise) throws MalformedException {
+        return n.path(name).isMissingNode() ? otherwise : amount(n, at, name);
+    }
+
     private static double positive(JsonNode n, String at, String name) throws MalformedException {
         double v = amount(n, at, name);
         if (v <= 0) {
--- a/src/test/java/org/dunespindle/protocol/FormatsTest.java
+++ b/src/test/java/org/dunespindle/protocol/FormatsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.List;
@@ -17,6 +18,8 @@
 import net.jqwik.api.Provide;
 import org.dunespindle.TestSettings;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.ParameterizedTest;
 
 /** Messages: what is written can be read, and nothing that is read can do more than be refused. */
 class FormatsTest {
@@ -119,4 +122,20 @@
         ((ObjectNode) good).put("front", "nowhere");
         assertTrue(assertThrows(MalformedException.class, () -> Settings.parse(good)).getMessage().length() > 5);
     }
+
+    @ParameterizedTest
+    @CsvSource({"deployment.resources, fd_limit, \"many\"", "deployment.resources, fd_limit, -3", "deployment.workers, lease_s, 0.5", "deployment.state, write_rps, 0", "deployment.state, txn_ops, \"x\"",
+        "deployment.cloud, list_lag_s, true", "'', front, \"nowhere\"", "outside, state, \"x:y\""})
+    void impossibleSettingsNameTheField(String table, String field, String value) throws Exception {
+        JsonNode file = TestSettings.node("a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "");
+        ((ObjectNode) file.path("deployment")).putObject("resources").put("fd_limit", 900);
+        Settings.parse(file);
+        JsonNode at = file;
+        for (String part : table == null || table.isEmpty() ? new String[0] : table.split("\\.")) {
+            at = at.path(part);
+        }
+        ((ObjectNode) at).set(field, new ObjectMapper().readTree(value));
+        String complaint = assertThrows(MalformedException.class, () -> Settings.parse(file)).getMessage();
+        assertTrue(complaint.contains(field) && complaint.lines().count() == 1, complaint);
+    }
 }
--- a/src/test/java/org/dunespindle/sim/FleetTest.java
+++ b/src/test/java/org/dunespindle/sim/FleetTest.java
@@ -4,9 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.dunespindle.coordination.FrontDesk;
 import org.dunespindle.protocol.Priority;
 import org.dunespindle.protocol.Resources;
 import org.dunespindle.protocol.Shape;
@@ -84,4 +87,21 @@
         world.sim.run(Duration.ofSeconds(130));
         assertEquals(0, world.broken.size(), world.broken.toString());
     }
+
+    /** More submissions at once than can be stored while their users wait: the rest is told at once when to come back. */
+    @Test
+    void whatCannotBeStoredInTimeIsAnsweredAtOnce() {
+        var world = new World(202);
+        world.sim.run(Duration.ofSeconds(5));
+        var answers = new ArrayList<CompletableFuture<FrontDesk.Answer>>();
+        for (int i = 0; i < 2000; i++) {
+            answers.add(world.offerTo(0, WorldTest.job("wk-%06d".formatted(i), "red", Shape.ARRAY, 1, false, false)));
+        }
+        var refused = answers.stream().filter(CompletableFuture::isDone).map(CompletableFuture::join).toList();
+        assertTrue(refused.size() > 1000 && refused.size() < 2000, refused.size() + " refused");
+        assertTrue(refused.stream().allMatch(a -> a.status() == 503 && a.retryAfter().isPresent()));
+        world.sim.run(Duration.ofSeconds(20));
+        assertTrue(answers.stream().allMatch(CompletableFuture::isDone));
+        assertEquals(2000 - refused.size(), answers.stream().filter(a -> a.join().status() == 201).count());
+    }
 }
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -403,6 +403,14 @@
         }
     }
 
+    /** Offers a job to one controller, whose answer comes in virtual time. */
+    public CompletableFuture<FrontDesk.Answer> offerTo(int node, Submission job) {
+        jobs.put(job.id(), job);
+        var result = new CompletableFuture<FrontDesk.Answer>();
+        nodes[node].frontDesk().submit(Pack.write(job.toNode()), result::complete);
+        return result;
+    }
+
     /** A poll at one controller, as a status. */
     public java.util.concurrent.CompletableFuture<FrontDesk.Answer> poll(int node, String id) {
         var result = new java.util.concurrent.CompletableFuture<FrontDesk.Answer>();
