--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -142,6 +142,8 @@
         private static final Duration FETCH_COST = Duration.ofSeconds(20);
         private static final Duration MOST_LOST = Duration.ofSeconds(120);
         private static final int LOST_CAUSE = 1000;
+        /** Gangs behind others of their team that machines are looked for already. */
+        private static final int MOST_AHEAD = 12;
         private static final Duration BEGIN_WITHIN = Duration.ofSeconds(120);
         /** A gang that has waited so long for its team's limit is not overtaken by the team's later work any more. */
         private static final Duration OVERTAKEN_AT_MOST = Duration.ofSeconds(20);
@@ -213,6 +215,7 @@
                     .thenComparing(j -> ranks.get(j.id())).thenComparing(JobRecord::id));
             var kept = new HashMap<String, Integer>();
             var alike = new ArrayList<ArrayWork>();
+            var queued = new ArrayList<JobRecord>();
             JobRecord before = null;
             for (JobRecord j : ordered) {
                 if (before != null && !equalStanding(before, j, ranks)) {
@@ -233,12 +236,14 @@
                         gang(j);
                     } else {
                         reasons.put(j.id(), "behind gang " + head.id() + " of its team");
+                        queued.add(j);
                     }
                 } else {
                     alike.add(new ArrayWork(j));
                 }
             }
             arrays(alike);
+            queued.stream().limit(MOST_AHEAD).forEach(this::ahead);
             s.phantoms().forEach(p -> spare(p.job(), kept.getOrDefault(p.job().id(), 0)));
             return new Plan(bookings, evictions, shortfalls, reasons, wanted, gangHosts);
         }
@@ -469,21 +474,45 @@
             return p.soon() - left;
         }
 
+        /**
+         * Asks for the machines of a gang that queues behind another of its team. It places nothing before its turn; but if machines were
+         * only rented then, each gang of a burst would wait for the boot of its own.
+         */
+        private void ahead(JobRecord j) {
+            Submission job = j.job();
+            int missing = j.unplacedCount();
+            if (!withinLimit(job, pending.getOrDefault(job.team(), Resources.NONE), missing)) {
+                return; // its turn is not near
+            }
+            keepRoom(j, missing, candidates(job));
+            pending.merge(job.team(), job.wholeAsk(), Resources::plus);
+        }
+
         /** Keeps or asks for room for a typical job that has not come yet; it is wanted, but nothing is booked or evicted. */
         private void spare(JobRecord phantom, int kept) {
-            var zones = new Zones(phantom);
             int missing = phantom.job().tasks() - kept;
-            for (Slot slot : missing <= 0 ? List.<Slot>of() : roomy(phantom.job(), candidates(phantom.job()), zones, false)) {
-                while (missing > 0 && phantom.job().perTask().fitsIn(slot.free) && zones.allows(slot.host)) {
-                    slot.free = slot.free.minus(phantom.job().perTask());
+            if (missing > 0) {
+                keepRoom(phantom, missing, roomy(phantom.job(), candidates(phantom.job()), new Zones(phantom), false));
+            }
+        }
+
+        /** Keeps room on some machines, in their order, and asks for more where they have too little. */
+        private void keepRoom(JobRecord j, int tasks, List<Slot> machines) {
+            var zones = new Zones(j);
+            Resources one = j.job().perTask();
+            int missing = tasks;
+            for (Slot slot : machines) {
+                while (missing > 0 && one.fitsIn(slot.free) && zones.allows(slot.host)) {
+                    slot.free = slot.free.minus(one);
                     wanted.add(slot.host.id());
                     zones.add(slot.host.zone());
                     missing--;
                 }
+                if (missing == 0) {
+                    return;
+                }
             }
-            if (missing > 0) {
-                shortfalls.add(new Shortfall(phantom, missing, zones.only));
-            }
+            shortfalls.add(new Shortfall(j, missing, zones.only));
         }
 
         /** Where a job's tasks may still go, given where they are: one zone for all, or at most half in each. */
--- a/src/test/java/org/dunespindle/coordination/PlannerTest.java
+++ b/src/test/java/org/dunespindle/coordination/PlannerTest.java
@@ -181,4 +181,18 @@
         assertEquals(List.of(), plan.evictions());
         assertEquals(1, plan.shortfalls().size());
     }
+
+    /** Were machines rented only when a gang's turn has come, each gang of a burst would wait for the boot of its own. */
+    @Test
+    void machinesAreAskedForAheadOfAGangsTurnButNothingIsPlaced() {
+        List<JobRecord> gangs = List.of(job(1, "red", Shape.GANG, Priority.URGENT, 2, false, false, false), job(2, "red", Shape.GANG, Priority.URGENT, 3, false, false, false),
+                job(3, "red", Shape.GANG, Priority.URGENT, 4, false, false, false));
+        Planner.Plan empty = plan(gangs, List.of());
+        // The third would be beyond the team's limit of six together with those before it.
+        assertEquals(List.of("wk-000001 2", "wk-000002 3"), empty.shortfalls().stream().map(g -> g.job().id() + " " + g.tasks()).toList());
+        Planner.Plan roomy = plan(gangs, List.of(host("h1", "east", false, 4), host("h2", "east", false, 4)));
+        assertEquals(List.of("wk-000001"), roomy.bookings().stream().map(b -> b.job().id()).toList());
+        assertEquals(List.of(), roomy.shortfalls());
+        assertEquals(Set.of("h1", "h2"), roomy.wantedHosts());
+    }
 }
