Narrow transactions while others are in the way; no take-over one by one of who has just ended

And workers of a controller that has just ended made the others take single machines before its lease told.

--- a/src/main/java/org/dunespindle/coordination/Committer.java
+++ b/src/main/java/org/dunespindle/coordination/Committer.java
@@ -29,6 +29,11 @@
     private static final int MOST_IN_FLIGHT = 3;
     private static final int USERS_AHEAD = 4;
     private static final int KEPT_BACK = 2;
+    /** Changes to a transaction: what fails costs the write rate all of them, and requests are plenty beside writes. */
+    private static final int FEW = 4;
+    private static final int CAUTIOUS = 2;
+    private static final int WIDEN = 10;
+    private static final Duration CAUTIOUS_FOR = Duration.ofSeconds(2);
     private static final Duration RATE_PAUSE = Duration.ofMillis(150);
     private final StateClient state;
     private final Replica replica;
@@ -38,6 +43,8 @@
     private final Set<String> locked = new HashSet<>();
     private final Runnable settled;
     private Duration notBefore = Duration.ZERO;
+    private Duration cautiousUntil = Duration.ZERO;
+    private long wasted;
     private int inFlight;
     private boolean timerSet;
     private long written;
@@ -73,6 +80,11 @@
         return lanes.get(lane).size();
     }
 
+    /** Changes tried in vain, since others had changed the same records. */
+    public long wasted() {
+        return wasted;
+    }
+
     /** Changes committed or tried so far. */
     public long written() {
         return written;
@@ -127,10 +139,15 @@
                 finish(List.of(head), new TxnResult.Refused(0, "more than a transaction takes"));
                 continue;
             }
-            send(batch((int) Math.max(cost, state.writes().available())));
+            send(batch((int) Math.max(cost, Math.min(width(), state.writes().available()))));
         }
     }
 
+    /** Batches widen with the load, but not while others change the same records. */
+    private int width() {
+        return timeline.now().compareTo(cautiousUntil) < 0 ? CAUTIOUS : Math.max(FEW, waiting() / WIDEN);
+    }
+
     private List<Proposal> batch(int mostWrites) {
         var batch = new ArrayList<Proposal>();
         var txn = new Txn();
@@ -169,6 +186,8 @@
             replica.adopt(txn, applied.revision());
             finish(batch, result);
         } else if (result instanceof TxnResult.Conflict conflict) {
+            wasted += txn.changeCount();
+            cautiousUntil = timeline.now().plus(CAUTIOUS_FOR);
             if (LOG.isDebugEnabled()) {
                 conflict.failed().forEach(k -> kinds.merge("conflict " + kind(k), 1, Integer::sum));
             }
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -113,7 +113,7 @@
         this.membership = new Membership(settings.nodeName(), state, replica, timeline);
         this.committer = new Committer(state, replica, timeline, settings.state().txnOps(), this::wake);
         this.edits = new MachineEdits(replica, committer, timeline);
-        this.hostDesk = new HostDesk(settings, replica, membership, edits, http, timeline, sessions, decisions, stops, vigil, this::cutOff, this::wake);
+        this.hostDesk = new HostDesk(settings, replica, membership, edits, http, timeline, sessions, decisions, stops, vigil, this::cutOff, this::fellQuiet, this::wake);
         this.peers = new Peers(settings, http, timeline, membership::incarnation, membership::leader, (host, image) -> sessions.of(host).fetched(image));
         this.writeShare = new WriteShare(settings, peers, membership, committer, state, timeline);
         this.cloud = new CloudClient(http, settings, timeline);
@@ -191,6 +191,10 @@
         return words.isEmpty() ? !settings.seeds().isEmpty() : words.stream().anyMatch(w -> w.viewAge().compareTo(PLACING_VIEW) < 0);
     }
 
+    private boolean fellQuiet(String owner) {
+        return peers.fellQuiet(owner);
+    }
+
     private void fetchCatalog() {
         cloud.catalog().whenComplete((list, failure) -> {
             if (failure == null) {
@@ -454,8 +458,8 @@
             }
         }
         LOG.debug("accelerators by class and phase: {}", byPhase);
-        LOG.debug("load: {} reports, {} calls, {} writes ({} wait), rounds {} (p90 {} ms), plans {} (p50 {} ms, p90 {} ms), state calls {} (p90 {} ms), own {} of {} machines, may write {}/s, {}", hostDesk.reports(),
-                hostDesk.calls(), committer.written(), committer.waiting(), rounds.getTotalCount(), rounds.getValueAtPercentile(90) / 1000, plans.getTotalCount(),
+        LOG.debug("load: {} reports, {} calls, {} writes ({} wait, {} in vain), rounds {} (p90 {} ms), plans {} (p50 {} ms, p90 {} ms), state calls {} (p90 {} ms), own {} of {} machines, may write {}/s, {}", hostDesk.reports(),
+                hostDesk.calls(), committer.written(), committer.waiting(), committer.wasted(), rounds.getTotalCount(), rounds.getValueAtPercentile(90) / 1000, plans.getTotalCount(),
                 plans.getValueAtPercentile(50) / 1000, plans.getValueAtPercentile(90) / 1000, state.latency().getTotalCount(), state.latency().getValueAtPercentile(90) / 1000,
                 replica.hosts().values().stream().filter(membership::owns).count(), replica.hosts().size(),
                 Math.round(state.writes().perSecond()), committer.kinds());
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -13,6 +13,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.dunespindle.bookkeeping.HostRecord;
 import org.dunespindle.bookkeeping.Keys;
 import org.dunespindle.bookkeeping.Replica;
@@ -66,6 +67,7 @@
     private final Stops stops;
     private final Vigil vigil;
     private final BooleanSupplier cutOff;
+    private final Predicate<String> fellQuiet;
     private final Runnable changed;
     /** Views older than this no longer entitle: a cancellation told elsewhere may be unknown here. */
     private final Duration viewLimit;
@@ -82,7 +84,7 @@
     private final LinkedHashSet<String> inLine = new LinkedHashSet<>();
 
     public HostDesk(Settings settings, Replica replica, Membership membership, MachineEdits edits, Caller http, Timeline timeline, Sessions sessions, Decisions decisions,
-            Stops stops, Vigil vigil, BooleanSupplier cutOff, Runnable changed) {
+            Stops stops, Vigil vigil, BooleanSupplier cutOff, Predicate<String> fellQuiet, Runnable changed) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
@@ -94,6 +96,7 @@
         this.stops = stops;
         this.vigil = vigil;
         this.cutOff = cutOff;
+        this.fellQuiet = fellQuiet;
         this.changed = changed;
         this.mostCalls = Math.max(LEAST_CALLS, settings.sockets() / CALLS_PART);
         Duration spare = settings.workers().cancel().minus(settings.workers().lease()).minus(Duration.ofSeconds(4));
@@ -319,7 +322,8 @@
             session.strays++;
             session.strayAt = now;
         }
-        if (!membership.joined() || session.verifying || edits.busy(r.host())) {
+        // A controller that has just ended takes all its workers here: its pages are soon taken as a whole, not machine by machine.
+        if (!membership.joined() || session.verifying || edits.busy(r.host()) || fellQuiet.test(record.owner())) {
             sendOn.run();
         } else if (session.strays >= 2) {
             verify(r, session, alive -> {
--- a/src/main/java/org/dunespindle/coordination/Peers.java
+++ b/src/main/java/org/dunespindle/coordination/Peers.java
@@ -29,6 +29,8 @@
 public final class Peers {
     private static final Duration TIMEOUT = Duration.ofMillis(1500);
     private static final Duration FRESH = Duration.ofSeconds(4);
+    private static final Duration QUIET = Duration.ofMillis(1700);
+    private static final Duration LEASE_TELLS = Duration.ofMillis(6500);
     private static final int MOST_AT_ONCE = 400;
     private static final ObjectMapper JSON = new ObjectMapper();
     private final Settings settings;
@@ -75,6 +77,16 @@
         return Optional.ofNullable(words.get(node)).filter(w -> timeline.now().minus(w.at).compareTo(FRESH) < 0);
     }
 
+    /**
+     * Whether a controller that talked a moment ago does not any more: it may have ended, and its lease will tell within seconds. One
+     * that has been quiet for longer than that lives.
+     */
+    public boolean fellQuiet(String node) {
+        Word w = words.get(node);
+        Duration quiet = w == null ? Duration.ZERO : timeline.now().minus(w.at);
+        return quiet.compareTo(QUIET) > 0 && quiet.compareTo(LEASE_TELLS) < 0;
+    }
+
     /** All words that are fresh. */
     public List<Word> fresh() {
         var list = new ArrayList<Word>();
--- /dev/null
+++ b/src/test/java/org/dunespindle/coordination/CommitterTest.java
@@ -0,0 +1,84 @@
+package org.dunespindle.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.dunespindle.TestSettings;
+import org.dunespindle.bookkeeping.Replica;
+import org.dunespindle.bookkeeping.StateClient;
+import org.dunespindle.bookkeeping.Txn;
+import org.dunespindle.bookkeeping.TxnResult;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.sim.Sim;
+import org.dunespindle.transport.Caller;
+import org.dunespindle.transport.HttpAnswer;
+import org.junit.jupiter.api.Test;
+
+/** Changes that others get in the way of: a transaction that fails is paid for in full. */
+class CommitterTest {
+    private final Sim sim = new Sim(1);
+    private final List<Integer> failed = new ArrayList<>();
+    private long epoch = 10;
+
+    private HttpAnswer answer(String target, byte[] body) throws MalformedException {
+        if (!target.equals("/txn")) {
+            ObjectNode n = Pack.map().put("epoch", epoch).put("more", false);
+            n.putArray("rows");
+            n.putArray("log");
+            return new HttpAnswer(200, Pack.write(n));
+        }
+        JsonNode txn = Pack.read(body);
+        ObjectNode n = Pack.map().put("epoch", ++epoch);
+        var stale = n.putArray("failed");
+        txn.path("guards").forEach(g -> {
+            if (g.path("key").asText().contains("stale")) {
+                stale.add(g.path("key").asText());
+            }
+        });
+        if (!stale.isEmpty()) {
+            failed.add(txn.path("apply").size());
+        }
+        return new HttpAnswer(stale.isEmpty() ? 200 : 409, Pack.write(n));
+    }
+
+    @Test
+    void staleChangesSinkFewOthers() throws MalformedException {
+        var process = sim.new Process();
+        Caller http = (address, method, target, body, type, timeout) -> {
+            var result = new CompletableFuture<HttpAnswer>();
+            sim.after(10, () -> {
+                try {
+                    result.complete(answer(target, body));
+                } catch (MalformedException e) {
+                    result.completeExceptionally(e);
+                }
+            });
+            return result;
+        };
+        var state = new StateClient(http, Settings.parse(TestSettings.node("n0", "127.0.0.1:1", "127.0.0.1:2", "cloud:1", "state:1", "")), process);
+        var replica = new Replica(state, process, Duration.ofMillis(300), () -> { });
+        replica.start();
+        sim.run(Duration.ofSeconds(1));
+        var committer = new Committer(state, replica, process, 16, () -> { });
+        Map<String, TxnResult> results = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            String key = "ds/x/" + (i % 10 == 5 ? "stale" : "good") + i;
+            committer.propose(Committer.Lane.PLACING, new Txn().guard(key, 0).write(key, Pack.map().put("n", i)), r -> results.put(key, r));
+        }
+        sim.run(Duration.ofSeconds(10));
+        assertEquals(60, results.size());
+        results.forEach((key, r) -> assertEquals(key.contains("stale") ? TxnResult.Conflict.class : TxnResult.Applied.class, r.getClass(), key));
+        assertEquals(failed.stream().mapToInt(Integer::intValue).sum(), committer.wasted());
+        assertTrue(committer.wasted() <= 24, committer.wasted() + " changes were paid for in vain, for 6 stale ones: " + failed);
+    }
+}
--- a/src/test/java/org/dunespindle/coordination/PeersTest.java
+++ b/src/test/java/org/dunespindle/coordination/PeersTest.java
@@ -81,4 +81,16 @@
         }
         assertEquals(Set.of(), Set.copyOf(peers.fresh()));
     }
+
+    /** Its lease tells within seconds whether it has ended; until then its machines are not taken one by one. */
+    @Test
+    void whoFellQuietAMomentAgoMayHaveEnded() {
+        assertEquals(false, peers.fellQuiet("n1"));
+        word("n1", 1, 0, 1, true);
+        assertEquals(false, peers.fellQuiet("n1"));
+        sim.run(Duration.ofSeconds(3));
+        assertEquals(true, peers.fellQuiet("n1"));
+        sim.run(Duration.ofSeconds(9));
+        assertEquals(false, peers.fellQuiet("n1"), "it lives, or its machines have been taken by now");
+    }
 }
