--- a/src/main/java/org/dunespindle/bookkeeping/Replica.java
+++ b/src/main/java/org/dunespindle/bookkeeping/Replica.java
@@ -49,6 +49,10 @@
     private long version;
     private long memberVersion;
     private final Set<String> unreadable = new HashSet<>();
+    /** Cancelled jobs by the revision at which this copy first showed them so, which is never before they were. */
+    private final TreeMap<Long, List<String>> cancelled = new TreeMap<>();
+    /** Own changes that were applied while everything is being read again: the pages read before them do not show them. */
+    private final List<Own> appliedWhileLoading = new ArrayList<>();
     private long syncedTo = -1;
     private Duration freshAt = Duration.ZERO;
     private boolean reading;
@@ -63,6 +67,8 @@
     /** A claim with its job. */
     public record Placed(JobRecord job, Claim claim) {}
 
+    private record Own(Txn txn, long revision) {}
+
     private record Waiter(Runnable served, Runnable failed) {}
 
     public Replica(StateClient state, Timeline timeline, Duration interval, Runnable changed) {
@@ -163,6 +169,13 @@
         return byHost.getOrDefault(host, List.of());
     }
 
+    /** Cancelled jobs that a copy which reaches up to a revision may not show as cancelled. */
+    public List<String> cancelledSince(long revision) {
+        var ids = new ArrayList<String>();
+        cancelled.tailMap(revision, false).values().forEach(ids::addAll);
+        return ids;
+    }
+
     /** Runs {@code served} once a reading that began after this call is in, or {@code failed}. */
     public void refresh(Runnable served, Runnable failed) {
         waiting.add(new Waiter(served, failed));
@@ -173,6 +186,9 @@
 
     /** Takes over an own transaction that was applied. */
     public void adopt(Txn txn, long revision) {
+        if (loading.isPresent()) {
+            appliedWhileLoading.add(new Own(txn, revision));
+        }
         txn.changes().forEach((key, change) -> put(key, change.value(), revision));
         changed.run();
     }
@@ -217,6 +233,7 @@
                 freshAt = begun;
                 logFailures = 0;
                 loading = Optional.empty(); // begun for nothing, and by now too old to go on with
+                appliedWhileLoading.clear();
                 if (any) {
                     changed.run();
                 }
@@ -287,6 +304,9 @@
             logLost = false;
             logFailures = 0;
             replaceAll(l.rows);
+            // Users were told of these: a copy that shows an older state, even for a moment, would deny it.
+            appliedWhileLoading.forEach(own -> own.txn.changes().forEach((key, change) -> put(key, change.value(), own.revision)));
+            appliedWhileLoading.clear();
             syncedTo = l.epoch;
             freshAt = l.begun;
             changed.run();
@@ -304,6 +324,7 @@
         pages.clear();
         byHost.clear();
         unreadable.clear();
+        cancelled.clear();
         members.clear();
         memberVersion++;
         plain.clear();
@@ -332,7 +353,7 @@
         version++;
         try {
             if (key.startsWith(Keys.JOB)) {
-                putJob(key.substring(Keys.JOB.length()), value);
+                putJob(key.substring(Keys.JOB.length()), value, stamp);
             } else if (key.startsWith(Keys.PAGE)) {
                 putPage(key, value);
             } else if (key.startsWith(Keys.MEMBER)) {
@@ -378,10 +399,13 @@
         }
     }
 
-    private void putJob(String id, Optional<JsonNode> value) throws MalformedException {
+    private void putJob(String id, Optional<JsonNode> value, long stamp) throws MalformedException {
         Optional<JobRecord> job = value.isEmpty() ? Optional.empty() : Optional.of(JobRecord.parse(id, value.get()));
         unreadable.remove(Keys.job(id));
         Optional<JobRecord> before = Optional.ofNullable(job.isPresent() ? jobs.put(id, job.get()) : jobs.remove(id));
+        if (job.filter(j -> j.end() == JobRecord.End.CANCELLED).isPresent() && before.filter(j -> j.end() == JobRecord.End.CANCELLED).isEmpty()) {
+            cancelled.computeIfAbsent(stamp, k -> new ArrayList<>(1)).add(id);
+        }
         if (job.isPresent() && job.get().spec().isPresent()) {
             openJobs.put(id, job.get());
         } else {
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/Cancellations.java
@@ -0,0 +1,89 @@
+package org.dunespindle.coordination;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dunespindle.bookkeeping.JobRecord;
+import org.dunespindle.bookkeeping.Replica;
+import org.dunespindle.bookkeeping.Replica.Placed;
+import org.dunespindle.bookkeeping.Timeline;
+import org.dunespindle.protocol.Settings;
+
+/**
+ * What this controller knows of cancellations, and how old that knowledge may be at most.
+ *
+ * <p>The copy of the store names every cancellation stored before its last reading was asked for. While it cannot be read, the
+ * other controllers are asked: each answers with the cancelled jobs that it knows and the asker's copy may lack. A controller
+ * tells a user only what its own copy holds, so one that has answered had confirmed nothing else when it was asked; one that
+ * started again answers only from a copy that it has read whole, and what its predecessor confirmed had been stored before.
+ * So what is known here is as old as the <em>oldest</em> of the last answers of all others, each counted from when it was
+ * asked. One that does not answer may have confirmed anything since, so then age grows, whoever else answers.
+ */
+final class Cancellations {
+    private final Replica replica;
+    private final Timeline timeline;
+    private final List<String> others;
+    /** When each other controller was last asked that has answered. */
+    private final Map<String, Duration> askedAt = new HashMap<>();
+    /** Jobs that others say are cancelled and that the copy here may still show as open. */
+    private final Set<String> told = new HashSet<>();
+
+    Cancellations(Settings settings, Replica replica, Timeline timeline) {
+        this.replica = replica;
+        this.timeline = timeline;
+        this.others = settings.seeds().stream().map(Settings.Seed::name).toList();
+    }
+
+    /**
+     * Takes another controller's whole answer.
+     *
+     * @param asked when the question was sent: what it confirms later may be missing in the answer
+     * @return the jobs that were not known here to be cancelled
+     */
+    List<String> answered(String node, Duration asked, List<String> cancelled) {
+        askedAt.merge(node, asked, (a, b) -> a.compareTo(b) > 0 ? a : b);
+        var news = new ArrayList<String>();
+        for (String id : cancelled) {
+            // A job that the copy does not have yet has no task that was started from here.
+            if (replica.job(id).filter(j -> !j.open()).isEmpty() && told.add(id)) {
+                news.add(id);
+            }
+        }
+        return news;
+    }
+
+    /** A cancellation confirmed longer ago than this is known here. */
+    Duration age() {
+        Duration now = timeline.now();
+        Duration oldest = Duration.ZERO;
+        for (String node : others) {
+            Duration asked = askedAt.get(node);
+            Duration since = asked == null ? replica.age() : now.minus(asked);
+            oldest = since.compareTo(oldest) > 0 ? since : oldest;
+        }
+        Duration read = replica.age();
+        return !replica.loaded() || read.compareTo(oldest) < 0 ? read : oldest;
+    }
+
+    /** Whether a job is known to be cancelled, by the copy or by what others told. */
+    boolean cancelled(JobRecord job) {
+        return job.end() == JobRecord.End.CANCELLED || job.open() && told.contains(job.id());
+    }
+
+    /** A machine's claims as they stand with what others told: those of cancelled jobs are to end. */
+    List<Placed> marked(List<Placed> claims) {
+        if (told.isEmpty()) {
+            return claims;
+        }
+        return claims.stream().map(p -> p.job().open() && told.contains(p.job().id()) ? new Placed(p.job().cancelled(), p.claim()) : p).toList();
+    }
+
+    /** Forgets what the copy shows by itself. */
+    void prune() {
+        told.removeIf(id -> replica.job(id).filter(j -> !j.open()).isPresent());
+    }
+}
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -62,6 +62,7 @@
     private final Sessions sessions = new Sessions();
     private final Vigil vigil;
     private final Stops stops = new Stops();
+    private final Cancellations cancellations;
     private final MachineEdits edits;
     private final HostDesk hostDesk;
     private final Peers peers;
@@ -113,8 +114,10 @@
         this.membership = new Membership(settings.nodeName(), state, replica, timeline);
         this.committer = new Committer(state, replica, timeline, settings.state().txnOps(), this::wake);
         this.edits = new MachineEdits(replica, committer, timeline);
-        this.hostDesk = new HostDesk(settings, replica, membership, edits, http, timeline, sessions, decisions, stops, vigil, this::cutOff, this::fellQuiet, this::wake);
-        this.peers = new Peers(settings, http, timeline, membership::incarnation, membership::leader, (host, image) -> sessions.of(host).fetched(image));
+        this.cancellations = new Cancellations(settings, replica, timeline);
+        this.hostDesk = new HostDesk(settings, replica, membership, edits, http, timeline, sessions, decisions, stops, cancellations, vigil, this::cutOff, this::fellQuiet, this::wake);
+        this.peers = new Peers(settings, http, timeline, membership::incarnation, membership::leader, (host, image) -> sessions.of(host).fetched(image), replica,
+                (node, asked, cancelled) -> hostDesk.cancelledElsewhere(cancellations.answered(node, asked, cancelled)));
         this.writeShare = new WriteShare(settings, peers, membership, committer, state, timeline);
         this.cloud = new CloudClient(http, settings, timeline);
         this.fleet = new Fleet(settings, replica, membership, edits, hostDesk, cloud, timeline, sessions, peers, decisions, targets, vigil, this::options, () -> catalog);
@@ -220,6 +223,7 @@
             writeShare.adjust();
             peers.tell(replica.age(), writeShare.need(), peers.leaderListens() ? news() : List.of());
             peers.keepOnly(replica.hosts().keySet());
+            cancellations.prune();
             sessions.forget(replica.hosts().keySet(), timeline.now());
         }
         timeline.after(WORD_EVERY, this::word);
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -65,11 +65,12 @@
     private final Sessions sessions;
     private final Decisions decisions;
     private final Stops stops;
+    private final Cancellations cancellations;
     private final Vigil vigil;
     private final BooleanSupplier cutOff;
     private final Predicate<String> fellQuiet;
     private final Runnable changed;
-    /** Views older than this no longer entitle: a cancellation told elsewhere may be unknown here. */
+    /** With older knowledge of cancellations no lease is renewed: one told elsewhere may be unknown here, and must end its tasks in time. */
     private final Duration viewLimit;
     private Set<String> due = new LinkedHashSet<>();
     private final Set<String> noticed = new LinkedHashSet<>();
@@ -84,7 +85,7 @@
     private final LinkedHashSet<String> inLine = new LinkedHashSet<>();
 
     public HostDesk(Settings settings, Replica replica, Membership membership, MachineEdits edits, Caller http, Timeline timeline, Sessions sessions, Decisions decisions,
-            Stops stops, Vigil vigil, BooleanSupplier cutOff, Predicate<String> fellQuiet, Runnable changed) {
+            Stops stops, Cancellations cancellations, Vigil vigil, BooleanSupplier cutOff, Predicate<String> fellQuiet, Runnable changed) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
@@ -94,6 +95,7 @@
         this.sessions = sessions;
         this.decisions = decisions;
         this.stops = stops;
+        this.cancellations = cancellations;
         this.vigil = vigil;
         this.cutOff = cutOff;
         this.fellQuiet = fellQuiet;
@@ -139,7 +141,7 @@
         Optional<WorkerReport> before = session.report;
         Duration now = timeline.now();
         boolean wasSilent = session.heardAt.filter(t -> vigil.silence(t).compareTo(settings.workers().report().multipliedBy(2).plusSeconds(2)) < 0).isEmpty();
-        boolean newer = session.accept(r, now);
+        boolean newer = session.reported(r, now);
         if (r.notice().isPresent()) {
             noticed.add(r.host());
         }
@@ -154,7 +156,7 @@
         if (replica.loaded() && keepsAlive(r, record, answer)) {
             return;
         }
-        if (!replica.loaded() || membership.incarnation() == 0 || replica.age().compareTo(viewLimit) > 0) {
+        if (!replica.loaded() || membership.incarnation() == 0 || !mayRenew()) {
             answer.accept(503, error("this controller does not know the present state"));
             return;
         }
@@ -181,14 +183,48 @@
         }
     }
 
+    /** Whether a worker may be answered with 200, as far as cancellations go. */
+    private boolean mayRenew() {
+        return cancellations.age().compareTo(viewLimit) <= 0;
+    }
+
+    /** A worker that has seen a higher token than is stored drops what is answered under the stored one, and waits until its lease is over. */
+    private static boolean accepts(WorkerReport r, HostRecord record) {
+        return r.token() <= record.token();
+    }
+
+    /** Tasks that it reports of jobs known to be cancelled: to stop them is right under any token and whatever else is under way. */
+    private List<Order> cancelledOn(WorkerReport r) {
+        var halts = new ArrayList<Order>();
+        r.tasks().forEach(t -> {
+            if (!t.exited() && replica.job(t.task().job()).filter(cancellations::cancelled).isPresent()) {
+                halts.add(new Order.Halt(t.task(), t.attempt(), Duration.ZERO));
+            }
+        });
+        return halts;
+    }
+
+    /** Renews a worker's lease and ends what is cancelled, nothing else. */
+    private void renew(WorkerReport r, HostRecord record, BiConsumer<Integer, ObjectNode> answer) {
+        answer.accept(200, Order.reply(record.token(), cancelledOn(r).stream().limit(ORDERS_AT_ONCE).toList()));
+    }
+
+    /** Looks at the machines of jobs that others say are cancelled. */
+    void cancelledElsewhere(List<String> jobs) {
+        jobs.forEach(id -> replica.job(id).ifPresent(j -> j.claims().forEach(c -> due.add(c.host()))));
+        if (!jobs.isEmpty()) {
+            changed.run();
+        }
+    }
+
     /**
      * A worker whose controller is gone is answered under the stored token until somebody takes its machine over: after a crash of
      * all, taking over takes longer than is left of its lease. Without orders, an equal token does nothing but renew.
      */
     private boolean keepsAlive(WorkerReport r, HostRecord record, BiConsumer<Integer, ObjectNode> answer) {
-        boolean orphan = record != null && !membership.isAlive(record.owner(), record.incarnation()) && replica.age().compareTo(START_VIEW) < 0 && r.token() <= record.token();
+        boolean orphan = record != null && !membership.isAlive(record.owner(), record.incarnation()) && replica.age().compareTo(START_VIEW) < 0 && accepts(r, record);
         if (orphan) {
-            answer.accept(200, Order.reply(record.token(), List.of()));
+            renew(r, record, answer);
         }
         return orphan;
     }
@@ -198,9 +234,17 @@
     }
 
     private void answerOwned(WorkerReport r, HostRecord record, Sessions.Session session, boolean newer, BiConsumer<Integer, ObjectNode> answer) {
+        if (!accepts(r, record)) {
+            answer.accept(503, error("its token is being raised"));
+            return;
+        }
         // Halts ride along for a worker that reaches this controller but cannot be reached, and forgetting has time; starts never ride.
         boolean proof = newer && r.token() == record.token() && session.unansweredUnder.isEmpty() && !session.calling && replica.syncedTo() >= replica.stamp(Keys.host(r.host()));
-        List<Order> orders = !proof ? List.of() : keepExits(record, session, Reconciler.judge(stops.marked(r.host(), replica.claimsOn(r.host())), r).orders()).stream()
+        if (!proof) {
+            renew(r, record, answer);
+            return;
+        }
+        List<Order> orders = keepExits(record, session, Reconciler.judge(claims(r.host()), r).orders()).stream()
                 .filter(o -> !(o instanceof Order.Run)).limit(ORDERS_AT_ONCE).toList();
         answer.accept(200, Order.reply(record.token(), orders));
     }
@@ -212,11 +256,11 @@
      */
     private void answerCutOff(WorkerReport r, HostRecord record, Sessions.Session session, BiConsumer<Integer, ObjectNode> answer) {
         Duration now = timeline.now();
-        boolean ours = record != null && membership.owns(record) && r.token() <= record.token();
+        boolean ours = record != null && membership.owns(record) && accepts(r, record);
         Optional<Duration> away = session.turnedAwayAt.map(now::minus).filter(d -> d.compareTo(TURNED_AWAY_MEMORY) < 0);
         boolean cameBack = away.filter(d -> d.compareTo(TURNED_AWAY_GAP) > 0).isPresent();
         if (ours && (cameBack || !hearsOtherZones())) {
-            answer.accept(200, Order.reply(record.token(), List.of()));
+            renew(r, record, answer);
             return;
         }
         if (away.isEmpty()) {
@@ -322,6 +366,11 @@
             session.strays++;
             session.strayAt = now;
         }
+        if (replica.age().compareTo(START_VIEW) >= 0 && session.strays >= 2 && accepts(r, record)) {
+            // In an outage that all share nobody can take it over from a controller that has ended; until then it is kept alive.
+            renew(r, record, answer);
+            return;
+        }
         // A controller that has just ended takes all its workers here: its pages are soon taken as a whole, not machine by machine.
         if (!membership.joined() || session.verifying || edits.busy(r.host()) || fellQuiet.test(record.owner())) {
             sendOn.run();
@@ -417,9 +466,19 @@
         }
     }
 
+    /** A machine's claims, with those marked that are to end though their record does not say so. */
+    private List<Replica.Placed> claims(String host) {
+        return stops.marked(host, cancellations.marked(replica.claimsOn(host)));
+    }
+
+    /** Whether a machine's reports no longer arrive, though it may answer when it is asked: then its lease is running out. */
+    boolean mute(Sessions.Session s) {
+        return s.heardAt.filter(t -> vigil.silence(t).compareTo(settings.workers().report().multipliedBy(2).plusSeconds(2)) < 0).isEmpty();
+    }
+
     private void conclude(HostRecord record, Sessions.Session s) {
         WorkerReport report = s.report.get();
-        Reconciler.Verdict v = Reconciler.judge(stops.marked(record.id(), replica.claimsOn(record.id())), report);
+        Reconciler.Verdict v = Reconciler.judge(claims(record.id()), report);
         report.tasks().forEach(t -> {
             if (t.phase() == TaskPhase.RUNNING || t.phase() == TaskPhase.ASSEMBLING) {
                 replica.job(t.task().job()).flatMap(j -> j.spec()).ifPresent(spec -> s.fetched(spec.image()));
@@ -429,9 +488,10 @@
         var events = v.events();
         // An old view may miss a cancellation: it stops tasks, but starts none.
         boolean startsWait = replica.age().compareTo(START_VIEW) >= 0;
-        if (s.unprovenSince.isPresent()) {
+        boolean mute = mute(s);
+        if (s.unprovenSince.isPresent() || mute) {
             startsWait = true;
-            if (oneWayFor(record.id()).filter(d -> d.compareTo(ONE_WAY_AFTER) > 0).isPresent()) {
+            if (mute || oneWayFor(record.id()).filter(d -> d.compareTo(ONE_WAY_AFTER) > 0).isPresent()) {
                 events = withoutStarts(v, replica.claimsOn(record.id()));
             }
         }
@@ -447,14 +507,14 @@
         }
     }
 
-    /** On a machine that takes no commands, a task that its report shows absent, with no start under way, is free to start elsewhere. */
+    /** On a machine that takes no commands, or whose reports reach nobody, a task that its report shows absent, with no start under way, is free to start elsewhere. */
     private static List<Reconciler.Event> withoutStarts(Reconciler.Verdict v, List<Replica.Placed> claims) {
         var events = new ArrayList<>(v.events());
         var unstarted = new HashSet<PieceId>();
         v.orders().stream().filter(o -> o instanceof Order.Run).forEach(o -> unstarted.add(o.task()));
         for (Replica.Placed p : claims) {
             if (unstarted.contains(new PieceId(p.job().id(), p.claim().task()))) {
-                events.add(new Reconciler.Event(p.job().id(), p.claim().task(), p.claim().base(), Reconciler.Fate.GONE, "the machine takes no commands"));
+                events.add(new Reconciler.Event(p.job().id(), p.claim().task(), p.claim().base(), Reconciler.Fate.GONE, "the machine and its controllers do not reach each other"));
             }
         }
         return events;
@@ -516,7 +576,7 @@
             s.unansweredUnder = Optional.empty();
             return true;
         }
-        if (s.heardAt.filter(t -> t.compareTo(s.unansweredAt) > 0).isPresent()) {
+        if (s.aliveAt().filter(t -> t.compareTo(s.unansweredAt) > 0).isPresent()) {
             if (!edits.busy(record.id())) {
                 edits.change(Committer.Lane.PLACING, record.fenced(), r -> due.add(record.id()));
             }
@@ -532,12 +592,14 @@
             return; // a timer brings it back
         }
         // A silent machine is asked seldom: in a cut there are hundreds, and each attempt holds a socket. Its next report ends the pause.
-        boolean silent = s.heardAt.filter(t -> vigil.silence(t).compareTo(settings.workers().report().multipliedBy(2)) < 0).isEmpty();
+        boolean silent = s.aliveAt().filter(t -> vigil.silence(t).compareTo(settings.workers().report().multipliedBy(2)) < 0).isEmpty();
         if (underWay >= mostCalls || silent && underWayToSilent >= mostCalls / 2) {
             inLine.add(record.id());
             return;
         }
-        List<Order> some = orders.size() > ORDERS_AT_ONCE ? orders.subList(0, ORDERS_AT_ONCE) : orders;
+        // Whatever the call is for: what is cancelled ends now.
+        List<Order> all = orders.isEmpty() && s.report.isPresent() ? cancelledOn(s.report.get()) : orders;
+        List<Order> some = all.size() > ORDERS_AT_ONCE ? all.subList(0, ORDERS_AT_ONCE) : all;
         boolean starts = some.stream().anyMatch(o -> o instanceof Order.Run);
         long session = s.report.map(WorkerReport::session).orElse(1L);
         long token = record.token();
@@ -605,11 +667,10 @@
         try {
             WorkerReport r = WorkerReport.parse(Pack.read(body));
             if (r.host().equals(host)) {
-                s.accept(r, timeline.now());
                 if (r.notice().isPresent()) {
                     noticed.add(host);
                 }
-                s.answered(timeline.now());
+                s.answered(r, timeline.now());
                 return true;
             }
         } catch (MalformedException ex) {
--- a/src/main/java/org/dunespindle/coordination/Ownership.java
+++ b/src/main/java/org/dunespindle/coordination/Ownership.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,6 +14,7 @@
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import org.dunespindle.bookkeeping.HostRecord;
+import org.dunespindle.bookkeeping.JobRecord;
 import org.dunespindle.bookkeeping.Keys;
 import org.dunespindle.bookkeeping.Replica;
 import org.dunespindle.bookkeeping.Replica.Placed;
@@ -62,6 +64,21 @@
         this.othersFirst = part.compareTo(OTHERS_FIRST) < 0 ? part : OTHERS_FIRST;
     }
 
+    /**
+     * Machines with placeholders that another live controller commands: it led when they were placed, and lost the lead without ending.
+     * It keeps them while a gang is on them, and the leader cannot see there that all placeholders idle; without this the gang would wait for
+     * its timer, all placed.
+     */
+    private Set<String> placeholdersElsewhere() {
+        var hosts = new TreeSet<String>();
+        for (JobRecord j : replica.livingJobs()) {
+            if (j.open() && j.job().gang() && j.mode() == JobRecord.Mode.HOLD) {
+                j.claims().forEach(c -> hosts.add(c.host()));
+            }
+        }
+        return hosts;
+    }
+
     /** Takes over machines whose controller is gone, and hands back or on those that hash elsewhere. */
     void tick(Planner.Plan plan) {
         Duration now = timeline.now();
@@ -144,10 +161,12 @@
         }
     }
 
-    /** Gangs are the leader's: it takes the machines that they are planned on. */
+    /** Gangs are the leader's: it takes the machines that they are planned on, and those that their placeholders are on. */
     void borrow(Planner.Plan plan) {
         long borrowed = -1;
-        for (String host : plan.gangHosts()) {
+        var wanted = new LinkedHashSet<>(plan.gangHosts());
+        wanted.addAll(placeholdersElsewhere());
+        for (String host : wanted) {
             HostRecord h = replica.hosts().get(host);
             if (h == null || membership.owns(h) || h.leaving() || edits.busy(host) || !h.keepUntil().isBefore(timeline.wallTime())) {
                 continue;
--- a/src/main/java/org/dunespindle/coordination/Peers.java
+++ b/src/main/java/org/dunespindle/coordination/Peers.java
@@ -16,6 +16,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.dunespindle.bookkeeping.HostRecord;
+import org.dunespindle.bookkeeping.Replica;
 import org.dunespindle.bookkeeping.Timeline;
 import org.dunespindle.protocol.Pack;
 import org.dunespindle.protocol.Settings;
@@ -32,6 +33,8 @@
     private static final Duration QUIET = Duration.ofMillis(1700);
     private static final Duration LEASE_TELLS = Duration.ofMillis(6500);
     private static final int MOST_AT_ONCE = 400;
+    /** A list of cancelled jobs longer than this is not sent: the asker then goes by the age of its copy. */
+    private static final int MOST_CANCELLED = 2000;
     private static final ObjectMapper JSON = new ObjectMapper();
     private final Settings settings;
     private final Caller http;
@@ -40,11 +43,19 @@
     private final Supplier<Optional<String>> leader;
     /** Told of machine and image: what a machine has fetched outlives the change of its owner. */
     private final BiConsumer<String, String> imageSeen;
+    private final Replica replica;
+    /** Told of a controller, when it was asked, and which cancelled jobs it knows that the copy here may lack. */
+    private final CancelledListener cancelledHeard;
     private final Map<String, Word> words = new HashMap<>();
     private final Map<String, Heard> heard = new HashMap<>();
     /** Up to which number each controller has taken our news. */
     private final Map<String, Long> taken = new HashMap<>();
 
+    /** Takes what another controller knows of cancellations. */
+    interface CancelledListener {
+        void heard(String node, Duration asked, List<String> cancelled);
+    }
+
     /** The last word of a controller. */
     public record Word(Duration at, long incarnation, Duration viewAge, double writes, int waiting) {}
 
@@ -63,7 +74,10 @@
         final Map<String, Machine> machines = new HashMap<>();
     }
 
-    public Peers(Settings settings, Caller http, Timeline timeline, LongSupplier incarnation, Supplier<Optional<String>> leader, BiConsumer<String, String> imageSeen) {
+    public Peers(Settings settings, Caller http, Timeline timeline, LongSupplier incarnation, Supplier<Optional<String>> leader, BiConsumer<String, String> imageSeen, Replica replica,
+            CancelledListener cancelledHeard) {
+        this.replica = replica;
+        this.cancelledHeard = cancelledHeard;
         this.settings = settings;
         this.http = http;
         this.timeline = timeline;
@@ -147,13 +161,14 @@
      */
     public void tell(Duration viewAge, Need need, List<News> news) {
         for (Settings.Seed seed : settings.seeds()) {
-            ObjectNode n = head(viewAge, need);
+            ObjectNode n = head(viewAge, need).put("readTo", replica.syncedTo());
+            Duration asked = timeline.now();
             if (leader.get().filter(seed.name()::equals).isPresent()) {
                 add(n, news, taken.getOrDefault(seed.name(), 0L));
             }
             http.send(seed.address(), "POST", "/peer/word", Admin.write(n), "application/json", TIMEOUT).whenComplete((a, e) -> {
                 if (a != null && a.status() == 200) {
-                    answered(seed.name(), a.body());
+                    answered(seed.name(), asked, a.body());
                 }
             });
         }
@@ -196,6 +211,7 @@
                     h.upTo = Math.max(h.upTo, n.path("upTo").asLong());
                 }
                 answer.put("took", h.upTo).put("tookOf", h.incarnation);
+                tellCancelled(answer, n.path("readTo").asLong(-1));
             }
         } catch (IOException e) {
             // counts as no word
@@ -203,6 +219,15 @@
         return answer;
     }
 
+    /** Only from a copy that was read whole, and only all of them: the asker counts on knowing every cancellation that was told from here. */
+    private void tellCancelled(ObjectNode answer, long readTo) {
+        List<String> ids = replica.loaded() && readTo >= 0 ? replica.cancelledSince(readTo) : List.of();
+        if (replica.loaded() && readTo >= 0 && ids.size() <= MOST_CANCELLED) {
+            ArrayNode list = answer.putArray("cancelled");
+            ids.forEach(list::add);
+        }
+    }
+
     private void take(Heard h, JsonNode row) {
         String host = row.path(0).asText();
         h.machines.put(host, new Machine(row.path(2).asBoolean(), row.path(3).asBoolean(), Duration.ofMillis(row.path(4).asLong()), timeline.now(), row.path(5).asText(), row.path(1).asLong()));
@@ -211,11 +236,16 @@
         }
     }
 
-    private void answered(String node, byte[] body) {
+    private void answered(String node, Duration asked, byte[] body) {
         try {
             JsonNode n = JSON.readTree(body);
             if (n != null && n.path("node").asText().equals(node)) {
                 note(node, n);
+                if (n.path("cancelled").isArray()) {
+                    var ids = new ArrayList<String>();
+                    n.get("cancelled").forEach(id -> ids.add(id.asText()));
+                    cancelledHeard.heard(node, asked, ids);
+                }
                 taken.put(node, n.path("tookOf").asLong() == incarnation.getAsLong() ? n.path("took").asLong() : 0L);
             }
         } catch (IOException e) {
--- a/src/main/java/org/dunespindle/coordination/Sessions.java
+++ b/src/main/java/org/dunespindle/coordination/Sessions.java
@@ -20,8 +20,14 @@
     public static final class Session {
         private static final int REMEMBERED_IMAGES = 12;
         Optional<WorkerReport> report = Optional.empty();
-        /** When the worker last gave a sign of life that cannot be an old copy. */
+        /**
+         * When the worker last reported here, or was first reached under its present token, which leaves it no time yet to report. That
+         * it answers later shows that it is there, not that its reports arrive: without them its lease runs out.
+         */
         Optional<Duration> heardAt = Optional.empty();
+        /** When it last answered when asked or commanded. */
+        Optional<Duration> answeredAt = Optional.empty();
+        private long answeredUnder = -1;
         /** When anything new came from it, be it an old copy. */
         Duration seenAt = Duration.ZERO;
         /** A direct command is under way; nothing is concluded until its answer is in. */
@@ -52,8 +58,18 @@
         String told = "";
         long toldAs;
 
-        /** Takes a report unless a newer one is known; late copies change nothing. */
-        boolean accept(WorkerReport r, Duration now) {
+        /** Takes a report that came by itself; late copies change nothing, and the first of all may be one: it proves no life. */
+        boolean reported(WorkerReport r, Duration now) {
+            boolean first = report.isEmpty();
+            boolean newer = accept(r, now);
+            if (newer && !first) {
+                heardAt = Optional.of(now);
+            }
+            return newer;
+        }
+
+        /** Takes what a worker says unless something newer is known. */
+        private boolean accept(WorkerReport r, Duration now) {
             if (report.isPresent()) {
                 if (!r.newerThan(report.get())) {
                     return false;
@@ -62,19 +78,28 @@
                     // Its lease ran out although it is up: it may be that our answers do not arrive.
                     unprovenSince = Optional.of(unprovenSince.orElse(now));
                 }
-                heardAt = Optional.of(now);
             }
             seenAt = now;
-            // The first report of all may be an old copy: it is where counting starts, but proves no life.
             report = Optional.of(r);
             return true;
         }
 
-        void answered(Duration now) {
-            heardAt = Optional.of(now);
+        /** Takes a worker's answer to a question or command. */
+        void answered(WorkerReport r, Duration now) {
+            accept(r, now);
+            if (heardAt.isEmpty() || r.token() > answeredUnder) {
+                heardAt = Optional.of(now);
+                answeredUnder = r.token();
+            }
+            answeredAt = Optional.of(now);
             unprovenSince = Optional.empty();
         }
 
+        /** The last sign of life of any kind. */
+        Optional<Duration> aliveAt() {
+            return heardAt.filter(h -> answeredAt.isEmpty() || h.compareTo(answeredAt.get()) >= 0).or(() -> answeredAt);
+        }
+
         void unanswered(Duration now) {
             unprovenSince = Optional.of(unprovenSince.orElse(now));
         }
--- a/src/main/java/org/dunespindle/coordination/Silence.java
+++ b/src/main/java/org/dunespindle/coordination/Silence.java
@@ -58,9 +58,12 @@
         this.listedAddress = listedAddress;
     }
 
-    /** When any controller last had a sign of life from a machine that could not be an old copy. */
+    /**
+     * When any controller last had a sign of life from a machine that could not be an old copy. Of its own machines a controller expects
+     * reports: without them their leases run out. Another's may report to their owner alone, so an answer is enough.
+     */
     Optional<Duration> heard(HostRecord host) {
-        Optional<Duration> here = sessions.known(host.id()).flatMap(s -> s.heardAt);
+        Optional<Duration> here = sessions.known(host.id()).flatMap(s -> membership.owns(host) ? s.heardAt : s.aliveAt());
         Optional<Duration> there = peers.aliveAt(host);
         return here.filter(h -> there.isEmpty() || h.compareTo(there.get()) >= 0).or(() -> there);
     }
--- a/src/main/java/org/dunespindle/coordination/TeamLedger.java
+++ b/src/main/java/org/dunespindle/coordination/TeamLedger.java
@@ -80,7 +80,10 @@
         if (v.team.withinLimit(bound.plus(need))) {
             return new Way.Write(open(v.team, bound.plus(need), v.names));
         }
-        return v.entry.closed() ? new Way.Wait() : new Way.Close(new Entry(bound, Resources.NONE));
+        // What may or may not have been stored counts until it cannot be any more: a new record voids what is still under way, and
+        // shows what was stored. Without that a team near its limit would wait for ever after a few answers that stayed out.
+        boolean unsure = v.unsure.cpus() > 0 || v.unsure.gpus() > 0;
+        return v.entry.closed() && !unsure ? new Way.Wait() : new Way.Close(new Entry(bound, Resources.NONE));
     }
 
     private static Entry open(Settings.Team team, Resources bound, int names) {
--- a/src/test/java/org/dunespindle/coordination/PeersTest.java
+++ b/src/test/java/org/dunespindle/coordination/PeersTest.java
@@ -21,7 +21,7 @@
 class PeersTest {
     private final Sim sim = new Sim(1);
     private final Peers peers = new Peers(settings(), (address, method, target, body, type, timeout) -> new java.util.concurrent.CompletableFuture<>(), sim.new Process(), () -> 1L,
-            () -> Optional.of("n0"), (host, image) -> { });
+            () -> Optional.of("n0"), (host, image) -> { }, new org.dunespindle.bookkeeping.Replica(null, sim.new Process(), Duration.ofSeconds(1), () -> { }), (node, asked, ids) -> { });
 
     private static Settings settings() {
         try {
--- a/src/test/java/org/dunespindle/coordination/TeamLedgerTest.java
+++ b/src/test/java/org/dunespindle/coordination/TeamLedgerTest.java
@@ -102,6 +102,18 @@
             assertTrue(store.use <= limit + 1e-6, store.use + " of " + limit);
         }
         assertTrue(placed > 0, "nothing was ever placed");
+        // Troubles over: whatever answers stayed out before, what the limit has room for is placed.
+        late.forEach(l -> store.commit(l.guard, l.need, l.written));
+        double last = Math.floor(limit - store.use);
+        if (last >= 1) {
+            Node n = nodes[random.nextInt(NAMES)];
+            boolean done = false;
+            for (int tries = 0; tries < 40 && !done; tries++) {
+                n.sync(store);
+                done = place(n, store, team, last, late, random);
+            }
+            assertTrue(done, last + " more beside " + store.use + " of " + limit + " is never placed");
+        }
     }
 
     private static boolean place(Node n, Store store, Settings.Team team, double need, ArrayDeque<Late> late, Random random) {
--- /dev/null
+++ b/src/test/java/org/dunespindle/sim/MixTest.java
@@ -0,0 +1,30 @@
+package org.dunespindle.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Troubles of all kinds that meet at moments drawn from seeds. More seeds than the usual few are played with
+ * {@code mvn test -Dtest=MixTest -Dmix.from=1000 -Dmix.count=500}.
+ */
+class MixTest {
+    private static final int JOBS = 14;
+
+    static LongStream seeds() {
+        long from = Long.getLong("mix.from", 500);
+        return LongStream.range(from, from + Integer.getInteger("mix.count", 24));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void whateverMeets(long seed) {
+        var mix = new TroubleMix(seed);
+        mix.submitJobs(JOBS);
+        mix.addAny(2 + (int) (seed % 3));
+        assertEquals(List.of(), mix.play(), () -> seed + ": " + mix.story());
+    }
+}
--- a/src/test/java/org/dunespindle/sim/Sim.java
+++ b/src/test/java/org/dunespindle/sim/Sim.java
@@ -11,6 +11,7 @@
     private final PriorityQueue<Event> queue = new PriorityQueue<>();
     private Duration now = Duration.ZERO;
     private long sequence;
+    private Runnable afterEach = () -> { };
     public final Random random;
 
     private record Event(Duration at, long sequence, Runnable work) implements Comparable<Event> {
@@ -29,6 +30,11 @@
         return now;
     }
 
+    /** Runs after every event: what must hold at any moment is checked here. */
+    public void afterEach(Runnable check) {
+        afterEach = check;
+    }
+
     public void after(Duration delay, Runnable work) {
         queue.add(new Event(now.plus(delay.isNegative() ? Duration.ZERO : delay), sequence++, work));
     }
@@ -42,6 +48,7 @@
             Event e = queue.poll();
             now = e.at();
             e.work().run();
+            afterEach.run();
         }
         now = until;
     }
--- /dev/null
+++ b/src/test/java/org/dunespindle/sim/TroubleMix.java
@@ -0,0 +1,221 @@
+package org.dunespindle.sim;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.protocol.Submission;
+
+/** A day of a few troubles that meet, drawn from a seed: the same seed is the same day. */
+final class TroubleMix {
+    /** All troubles are over by then, and nothing that was held back is left soon after. */
+    static final Duration OVER = Duration.ofSeconds(130);
+    static final Duration END = Duration.ofSeconds(420);
+    private static final int MACHINES_ASKED = 3;
+
+    /** One trouble; it begins when it is made and ends by itself. */
+    enum Trouble {
+        LEADER_WITHOUT_STATE_AND_PEERS, LEADER_REFUSED, STATE_OUT, ZONE_CUT, ONE_CRASHES, ALL_CRASH, LEADERS_CHANGE, STANDS_STILL, MUTE, DEAF, HANG, MACHINES_CUT, LATE_WRITES,
+        LATE_REPORTS, HELD_REPORTS, CANCEL_NOW, CANCEL_AT_END, ODD_REQUESTS, BLOCKED, PEERS_REFUSE, LOSS, LATE_RENTAL, DIES, TAKEN, LEADER_DEAF
+    }
+
+    private final World world;
+    private final Random random;
+    private final List<String> ids = new ArrayList<>();
+    private final List<String> story = new ArrayList<>();
+
+    TroubleMix(long seed) {
+        world = new World(seed);
+        random = new Random(seed * 31 + 7);
+    }
+
+    World world() {
+        return world;
+    }
+
+    /** What was made to happen, for whoever looks into a seed. */
+    List<String> story() {
+        return story;
+    }
+
+    List<String> ids() {
+        return ids;
+    }
+
+    /** Jobs of all kinds: bound to a zone, together, apart, cheap machines or not, some saving, some long. */
+    void submitJobs(int count) {
+        for (int i = 0; i < count; i++) {
+            String id = "wk-%06d".formatted(i);
+            ids.add(id);
+            boolean gang = i % 3 == 0;
+            int tasks = gang ? 1 + random.nextInt(4) : 2 + random.nextInt(6);
+            boolean apart = !gang && i % 5 == 4;
+            Optional<String> zone = i % 7 == 2 && !apart ? Optional.of(i % 2 == 0 ? "east" : "west") : Optional.empty();
+            Duration saves = i % 4 == 1 ? Duration.ofSeconds(5) : Duration.ZERO;
+            var job = new Submission(id, gang ? "gang" : "array", i % 2 == 0 ? "red" : "blue", gang ? Shape.GANG : Shape.ARRAY, gang ? Priority.URGENT : Priority.LOW, tasks, new Resources(1, 1, 1),
+                    Optional.empty(), zone, gang && i % 2 == 0, apart, i % 4 != 0, "image-" + tasks % 2, 2, Duration.ofSeconds(5), saves, saves.isZero() ? saves : Duration.ofSeconds(3), Optional.empty());
+            world.sim.after(500L + i * 3500L + random.nextInt(1500), () -> world.submit(job));
+        }
+    }
+
+    /** Makes one trouble happen some time into the day. */
+    void add(Trouble trouble, Duration at) {
+        world.sim.after(at, () -> {
+            story.add(world.sim.now().toMillis() + " ms: " + trouble);
+            world.met(trouble.name());
+            begin(trouble);
+        });
+    }
+
+    /** So many troubles of any kind, close enough to meet. */
+    void addAny(int count) {
+        Trouble[] all = Trouble.values();
+        int from = 8000 + random.nextInt(25_000);
+        for (int i = 0; i < count; i++) {
+            add(all[random.nextInt(all.length)], Duration.ofMillis(from + random.nextInt(15_000)));
+        }
+    }
+
+    /** Runs the day; what is checked at its end is in the result beside the rules broken. */
+    List<String> play() {
+        world.sim.after(OVER, () -> world.calm = true);
+        world.sim.run(END);
+        var wrong = new ArrayList<>(world.broken);
+        wrong.addAll(world.dayFailures());
+        for (String id : ids) {
+            if (!List.of("done", "cancelled").contains(world.lastTold(id))) {
+                wrong.add(id + " is " + world.lastTold(id));
+            }
+        }
+        return wrong;
+    }
+
+    private int leader() {
+        return Math.max(0, world.leader());
+    }
+
+    private Duration millis(int least, int most) {
+        return Duration.ofMillis(least + random.nextInt(most - least));
+    }
+
+    private void until(Duration length, Runnable end) {
+        world.sim.after(length, end);
+    }
+
+    private List<WorkerStandIn> someMachines() {
+        var some = new ArrayList<WorkerStandIn>();
+        for (int i = 0; i < 1 + random.nextInt(MACHINES_ASKED); i++) {
+            WorkerStandIn w = world.worker(random.nextInt(50));
+            if (w != null) {
+                some.add(w);
+            }
+        }
+        return some;
+    }
+
+    private void begin(Trouble trouble) {
+        switch (trouble) {
+            case LEADER_WITHOUT_STATE_AND_PEERS -> {
+                world.isolatedNode = leader();
+                until(millis(6000, 45_000), () -> world.isolatedNode = -1);
+            }
+            case LEADER_REFUSED -> {
+                world.refusedNode = leader();
+                until(millis(2000, 40_000), () -> world.refusedNode = -1);
+            }
+            case STATE_OUT -> {
+                world.state.out = true;
+                until(millis(4000, 45_000), world.state::recover);
+            }
+            case ZONE_CUT -> {
+                world.zoneCut = random.nextBoolean() ? "east" : "west";
+                until(millis(6000, 30_000), () -> world.zoneCut = "");
+            }
+            case ONE_CRASHES -> world.crash(random.nextInt(3), millis(50, 9000));
+            case ALL_CRASH -> {
+                for (int n = 0; n < 3; n++) {
+                    world.crash(n, millis(50, 12_000));
+                }
+            }
+            case LEADERS_CHANGE -> {
+                for (int k = 0; k < 6; k++) {
+                    world.sim.after(millis(0, 45_000), () -> world.crash(leader(), millis(50, 900)));
+                }
+            }
+            case STANDS_STILL -> world.freeze((leader() + random.nextInt(2)) % 3, millis(2000, 20_000));
+            case MUTE -> someMachines().forEach(w -> {
+                w.mute(true);
+                until(millis(5000, 45_000), () -> w.mute(false));
+            });
+            case DEAF -> someMachines().forEach(w -> {
+                w.oneWay(true);
+                until(millis(5000, 45_000), () -> w.oneWay(false));
+            });
+            case HANG -> someMachines().forEach(w -> w.hang(millis(2000, 25_000)));
+            case MACHINES_CUT -> someMachines().forEach(w -> world.cut(w, millis(2000, 30_000)));
+            case LATE_WRITES -> {
+                world.lateWrites = 0.1 + random.nextDouble() * 0.3;
+                until(millis(10_000, 50_000), () -> world.lateWrites = 0);
+            }
+            case LATE_REPORTS -> {
+                world.lateCopies = 2;
+                until(millis(20_000, 60_000), () -> world.lateCopies = 0);
+            }
+            case HELD_REPORTS -> someMachines().forEach(w -> {
+                w.holdReports(millis(3000, 25_000));
+                until(millis(3000, 15_000), () -> w.holdReports(Duration.ZERO));
+            });
+            case CANCEL_NOW -> {
+                ids.stream().filter(id -> world.lastTold(id).equals("running")).limit(4).forEach(id -> world.sim.after(random.nextInt(200), () -> world.cancel(id)));
+                if (random.nextBoolean()) {
+                    someMachines().forEach(w -> w.hang(millis(2000, 25_000)));
+                }
+            }
+            case CANCEL_AT_END -> {
+                world.cancelledAtEnd = 0.5;
+                until(millis(20_000, 50_000), () -> world.cancelledAtEnd = 0);
+            }
+            case ODD_REQUESTS -> {
+                for (int k = 0; k < 20; k++) {
+                    String id = ids.get(random.nextInt(ids.size()));
+                    world.sim.after(millis(0, 40_000), () -> world.repeat(id));
+                    world.sim.after(millis(0, 40_000), () -> world.askForStranger("wk-9" + random.nextInt(9999)));
+                    world.sim.after(millis(0, 40_000), () -> {
+                        if (world.lastTold(id).equals("done")) {
+                            world.cancel(id);
+                        }
+                    });
+                }
+            }
+            case BLOCKED -> {
+                List<WorkerStandIn> some = someMachines();
+                int node = random.nextInt(3);
+                some.forEach(w -> world.block(node, w));
+                until(millis(10_000, 60_000), () -> some.forEach(w -> world.unblock(node, w)));
+            }
+            case PEERS_REFUSE -> {
+                world.peersRefuse = true;
+                until(millis(5000, 40_000), () -> world.peersRefuse = false);
+            }
+            case LOSS -> {
+                world.loss = 0.03;
+                world.repeat = 0.1;
+                until(millis(10_000, 50_000), () -> {
+                    world.loss = 0;
+                    world.repeat = 0;
+                });
+            }
+            case LATE_RENTAL -> world.lateRentals = true;
+            case DIES -> someMachines().stream().limit(1).forEach(world::die);
+            case TAKEN -> someMachines().stream().filter(w -> w.takenAt == null).forEach(w -> world.take(w, millis(6000, 14_000)));
+            case LEADER_DEAF -> {
+                world.deafNode = leader();
+                until(millis(8000, 40_000), () -> world.deafNode = -1);
+            }
+        }
+    }
+}
--- a/src/test/java/org/dunespindle/sim/WorkerStandIn.java
+++ b/src/test/java/org/dunespindle/sim/WorkerStandIn.java
@@ -28,6 +28,13 @@
     Duration takenAt;
     /** Its reports arrive; answers and commands do not. */
     boolean oneWay;
+    /** Its reports arrive nowhere; commands reach it and are answered. */
+    boolean mute;
+    /** Its reports arrive only so much later, long after it has given up waiting for their answers. */
+    boolean heldReports;
+    Duration heldFor = Duration.ZERO;
+    private Duration hungSince = Duration.ZERO;
+    private Duration hungUntil = Duration.ZERO;
 
     final class Task {
         final PieceId piece;
@@ -55,6 +62,7 @@
         void exit(String why) {
             phase = "exited";
             cause = why;
+            world.changed();
         }
     }
 
@@ -78,6 +86,51 @@
         oneWay = yes;
     }
 
+    /** Its reports are held back for so long from now on; zero ends that. */
+    public void holdReports(Duration length) {
+        heldReports = !length.isZero();
+        heldFor = length;
+    }
+
+    /** Tasks that take room here. */
+    long held() {
+        return tasks.values().stream().filter(t -> !t.phase.equals("exited")).count();
+    }
+
+    public void mute(boolean yes) {
+        mute = yes;
+    }
+
+    /** Stands still: its tasks make no progress, and what is sent to it waits. Its lease goes on. */
+    public void hang(Duration length) {
+        hungSince = sim.now();
+        hungUntil = sim.now().plus(length);
+        sim.after(length.plusMillis(1), this::endLeaseIfDue); // before anything that was sent meanwhile is read
+        tasks.values().forEach(t -> {
+            if (t.phase.equals("running")) {
+                t.endsAt = t.endsAt.plus(length);
+            }
+        });
+    }
+
+    boolean hung() {
+        return sim.now().compareTo(hungUntil) <= 0 && hungUntil.compareTo(Duration.ZERO) > 0;
+    }
+
+    /** Whether the peers of its gangs have noticed by now that it hangs. */
+    boolean hangNoticed() {
+        return hung() && sim.now().minus(hungSince).compareTo(World.GANG_PEER) > 0;
+    }
+
+    private void endLeaseIfDue() {
+        if (sim.now().minus(leaseFrom).compareTo(World.LEASE) > 0) {
+            tasks.clear();
+            session++;
+            leaseFrom = sim.now();
+            world.changed();
+        }
+    }
+
     public boolean dead() {
         return dead;
     }
@@ -123,11 +176,15 @@
         if (dead) {
             return;
         }
+        if (hung()) {
+            sim.after(200, this::beat);
+            return;
+        }
         long sentIn = session;
         Duration sentAt = sim.now();
         var done = new boolean[1];
         world.toNode(node, this, report(), (status, body) -> {
-            if (done[0]) {
+            if (done[0] || hung()) {
                 return;
             }
             done[0] = true;
@@ -201,26 +258,35 @@
         } else if (used >= World.SLOTS) {
             t.exit("no_room");
         } else {
-            sim.after(FETCH, () -> {
-                if (t.phase.equals("pulling") && tasks.get(key) == t) {
-                    t.phase = world.isGang(piece) ? "gathering" : "running";
-                    t.endsAt = sim.now().plus(world.taskTime.orElse(Duration.ofMillis(2000 + sim.random.nextInt(6000))));
-                    t.gatherUntil = sim.now().plus(World.GANG_WAIT);
-                    world.started(this, t);
-                }
-            });
+            fetch(FETCH, t, key, piece);
         }
     }
 
+    private void fetch(Duration time, Task t, String key, PieceId piece) {
+        sim.after(time, () -> {
+            if (hung()) {
+                fetch(Duration.ofMillis(200), t, key, piece);
+                return;
+            }
+            if (t.phase.equals("pulling") && tasks.get(key) == t && !dead) {
+                t.phase = world.isGang(piece) ? "gathering" : "running";
+                t.endsAt = sim.now().plus(world.taskTime.orElse(Duration.ofMillis(2000 + sim.random.nextInt(6000))));
+                t.gatherUntil = sim.now().plus(World.GANG_WAIT);
+                world.started(this, t);
+                world.changed();
+            }
+        });
+    }
+
     private void step() {
         if (dead) {
             return;
         }
-        if (sim.now().minus(leaseFrom).compareTo(World.LEASE) > 0) {
-            tasks.clear();
-            session++;
-            leaseFrom = sim.now();
+        if (hung()) {
+            sim.after(100, this::step);
+            return;
         }
+        endLeaseIfDue();
         for (Task t : tasks.values()) {
             if (t.phase.equals("gathering")) {
                 if (world.gangComplete(t)) {
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -35,6 +35,11 @@
     static final int SLOTS = 4;
     static final Duration LEASE = Duration.ofSeconds(10);
     static final Duration GANG_WAIT = Duration.ofSeconds(30);
+    static final Duration GANG_PEER = Duration.ofSeconds(5);
+    private static final int QUOTA_RED = 10;
+    private static final int QUOTA_BLUE = 6;
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(90);
+    private static final Duration LARGEST_BEGIN = Duration.ofMinutes(4);
     private static final Duration ANSWER_WITHIN = Duration.ofSeconds(4);
     static final Duration CANCEL = Duration.ofSeconds(30);
     private static final List<String> ZONES = List.of("east", "west");
@@ -66,6 +71,10 @@
     public final String[] areas = {"east", "east", "west"};
     /** Controllers don't reach one another. */
     public boolean peersRefuse;
+    /** Controllers that do not reach one another, as from * 3 + to. */
+    public final Set<Integer> peersBlocked = new HashSet<>();
+    /** The longest that a message between controllers is held on its way. */
+    public int peerDelayMillis;
     /** How many more copies of a report come late, and how late at most. */
     public int lateCopies;
     public Duration latestCopy = Duration.ofSeconds(25);
@@ -74,6 +83,23 @@
     public double loss;
     public double repeat;
     private int nextMachine = 1;
+    /** The part of the transactions that get no answer and are carried out 2 to 12 s later, after newer ones. */
+    public double lateWrites;
+    /** The part of the jobs' ends at whose very moment their users call them off. */
+    public double cancelledAtEnd;
+    /** The only controller that users reach, or -1 for any that is healthy. */
+    public int usersAt = -1;
+    /** Whether somebody still makes trouble; what must hold once troubles are over is watched from then on. */
+    public boolean calm;
+    /** How often what a test is about has happened, by name: a meeting that did not take place proves nothing. */
+    public final Map<String, Integer> met = new TreeMap<>();
+    private final Set<String> wantedGone = new HashSet<>();
+    private final Map<String, Duration> submittedAt = new HashMap<>();
+    private final Map<String, Duration> begunAt = new HashMap<>();
+    private final Map<String, Duration> waitsBesideRoom = new HashMap<>();
+    /** Tasks that began although their user had been told before that the job is cancelled. */
+    public final List<String> startsAfterCancel = new ArrayList<>();
+    private boolean dirty;
 
     public World(long seed) {
         this(seed, 7, 1);
@@ -89,6 +115,14 @@
             boot(i);
         }
         sim.after(100, this::watch);
+        if (mostMachines < 100) {
+            sim.afterEach(() -> {
+                if (dirty) {
+                    dirty = false;
+                    quota();
+                }
+            });
+        }
     }
 
     private Settings settings(int i) {
@@ -152,6 +186,9 @@
 
     /** Kills a controller; a new process of the same name comes after the pause. */
     public void crash(int i, Duration pause) {
+        if (processes[i].isDead()) {
+            return; // it is down already; a second process of its name would come back beside the first
+        }
         processes[i].kill();
         open[i] = 0;
         nodes[i] = null;
@@ -163,6 +200,15 @@
         processes[i].freeze(length);
     }
 
+    /** Something about tasks on machines changed. */
+    void changed() {
+        dirty = true;
+    }
+
+    void met(String what) {
+        met.merge(what, 1, Integer::sum);
+    }
+
     int nodeIndex(String name) {
         return name.matches("n[0-2]") ? name.charAt(1) - '0' : -1;
     }
@@ -206,6 +252,10 @@
         blocked.add(node + w.id);
     }
 
+    public void unblock(int node, WorkerStandIn w) {
+        blocked.remove(node + w.id);
+    }
+
     private long delay() {
         return 2 + sim.random.nextInt(15) + (sim.random.nextInt(50) == 0 ? 300 : 0);
     }
@@ -216,8 +266,14 @@
             count(from, address, target, body, result);
             owner.after(timeout, () -> result.completeExceptionally(new CallFailure("no answer in time", true)));
             boolean twice = sim.random.nextDouble() < repeat && address.startsWith("worker");
+            if (lateWrites > 0 && target.equals("/txn") && sim.random.nextDouble() < lateWrites) {
+                met("late write");
+                sim.after(2000 + sim.random.nextInt(10_000), () -> deliver(owner, from, address, method, target, body, new CompletableFuture<>()));
+                return result;
+            }
             for (int copy = 0; copy < (twice ? 2 : 1); copy++) {
-                sim.after(delay() + copy * sim.random.nextInt(8000), () -> deliver(owner, from, address, method, target, body, result));
+                int held = peerDelayMillis > 0 && address.startsWith("node") ? sim.random.nextInt(peerDelayMillis) : 0;
+                sim.after(delay() + held + copy * sim.random.nextInt(8000), () -> deliver(owner, from, address, method, target, body, result));
             }
             return result;
         };
@@ -235,14 +291,14 @@
             }
             return;
         }
-        if (w != null && w.cut && !w.dead) {
+        if (w != null && (w.cut || w.hung()) && !w.dead) {
             sim.after(500, () -> deliver(owner, from, address, method, target, body, result)); // held back, delivered late
             return;
         }
         if (w != null && (blocked.contains(from + w.id) || w.oneWay || from == deafNode)) {
             return;
         }
-        if (address.startsWith("node") && peersRefuse) {
+        if (address.startsWith("node") && (peersRefuse || peersBlocked.contains(from * 3 + address.charAt(5) - '0'))) {
             return;
         }
         if (address.startsWith("state") && from == isolatedNode || address.startsWith("node") && (from == isolatedNode || address.endsWith(":" + isolatedNode))) {
@@ -337,10 +393,21 @@
                 }
             });
         }
+        if (from.heldReports && !from.mute) {
+            // It arrives where it was sent to, whoever leads by then.
+            sim.after(from.heldFor, () -> {
+                met("held report");
+                if (nodes[node] != null) {
+                    Controller late = nodes[node];
+                    processes[node].arrive(() -> receive(late, report, (status, body) -> { }));
+                }
+            });
+            return;
+        }
         Sim.Process target = processes[node];
         Controller c = nodes[node];
         sim.after(delay(), () -> {
-            if (from.cut || from.dead || node == deafNode || apart(from.zone, areas[node]) || blocked.contains(node + from.id)) {
+            if (from.cut || from.dead || from.mute || node == deafNode || apart(from.zone, areas[node]) || blocked.contains(node + from.id)) {
                 return;
             }
             if (c == null || target.isDead()) {
@@ -371,6 +438,16 @@
         return status[0];
     }
 
+    /** What is on the machines that live, for whoever looks into a day. */
+    String dump() {
+        var text = new StringBuilder("leader " + leader() + ":");
+        alive().forEach(w -> {
+            text.append(' ').append(w.id()).append(w.zone.charAt(0)).append(w.spot ? "s" : "");
+            w.tasks().forEach(t -> text.append(' ').append(t.piece).append('#').append(t.attempt).append(t.phase.charAt(0)));
+        });
+        return text.toString();
+    }
+
     /** All machines that live. */
     public List<WorkerStandIn> alive() {
         return workers.values().stream().filter(w -> !w.dead).toList();
@@ -386,9 +463,34 @@
 
     public void submit(Submission job) {
         jobs.put(job.id(), job);
+        submittedAt.putIfAbsent(job.id(), sim.now());
         offer(job);
     }
 
+    /** A user repeats a submission; whatever became of the job meanwhile, it is known. */
+    public void repeat(String id) {
+        Duration asked = sim.now();
+        if (!told.containsKey(id)) {
+            return;
+        }
+        ask(n -> n.submit(Pack.write(jobs.get(id).toNode()), a -> {
+            if (a.status() == 200 || a.status() == 201) {
+                told(id, asked, a);
+            } else if (a.status() != 503) {
+                broken.add("forgotten: repeated submission of " + id + " answered " + a.status());
+            }
+        }), () -> { });
+    }
+
+    /** A user asks about a job that nobody submitted. */
+    public void askForStranger(String id) {
+        ask(n -> n.poll(id, a -> {
+            if (a.status() == 200) {
+                broken.add("invented: " + id);
+            }
+        }), () -> { });
+    }
+
     private void offer(Submission job) {
         Duration asked = sim.now();
         // A controller that dies with the request never answers it; its user asks again.
@@ -410,7 +512,7 @@
     }
 
     private void ask(java.util.function.Consumer<FrontDesk> question, Runnable otherwise) {
-        int i = sim.random.nextInt(3);
+        int i = usersAt >= 0 ? usersAt : sim.random.nextInt(3);
         if (nodes[i] == null || processes[i].frozen() || apart("", areas[i]) || !nodes[i].healthy()) {
             sim.after(500, otherwise);
         } else {
@@ -442,14 +544,17 @@
         return result;
     }
 
+    /** What a job's user was told last, if that was that it is cancelled, and when first. */
+    public java.util.Optional<Duration> cancelledAt(String id) {
+        return java.util.Optional.ofNullable(cancelled.get(id));
+    }
+
     public void cancel(String id) {
         Duration asked = sim.now();
+        wantedGone.add(id);
         ask(n -> n.cancel(id, a -> {
             if (a.status() == 200) {
                 told(id, asked, a);
-                if (told.get(id).equals("cancelled")) {
-                    cancelled.putIfAbsent(id, sim.now());
-                }
             } else {
                 sim.after(1000, () -> cancel(id));
             }
@@ -467,6 +572,16 @@
         if (!over) {
             told.put(id, phase);
             overAt.put(id, sim.now());
+        } else if (!before.equals(phase) && (phase.equals("done") || phase.equals("cancelled"))) {
+            broken.add("went_back: " + id + " was told " + before + " and " + phase);
+        }
+        if (phase.equals("cancelled")) {
+            if (!wantedGone.contains(id)) {
+                broken.add("went_back: " + id + " cancelled by nobody");
+            }
+            if (cancelled.putIfAbsent(id, sim.now()) == null) {
+                sim.after(CANCEL.plusMillis(1), this::quota);
+            }
         }
         if (phase.equals("done") && done.getOrDefault(id, Set.of()).size() < jobs.get(id).tasks()) {
             broken.add("not_done: " + id);
@@ -491,6 +606,7 @@
             }
         }
         quota();
+        waits();
         sim.after(250, this::watch);
     }
 
@@ -515,7 +631,7 @@
                 broken.add("ran_cancelled: " + t.piece);
             }
         }
-        if (mostMachines == 7 && (use.getOrDefault("red", 0) > 10 || use.getOrDefault("blue", 0) > 6)) {
+        if (mostMachines == 7 && (use.getOrDefault("red", 0) > QUOTA_RED || use.getOrDefault("blue", 0) > QUOTA_BLUE)) {
             broken.add("quota: " + use);
         }
     }
@@ -531,9 +647,96 @@
                 zones.add(workers.get(t.host()).zone);
             }
         }
-        if ((job.sameZone() && zones.size() > 1) || (worker.spot && !job.spot())) {
+        long inZone = live().stream().filter(t -> t.piece.job().equals(started.piece.job()) && workers.containsKey(t.host()) && workers.get(t.host()).zone.equals(worker.zone)).count();
+        boolean tooMany = job.spread() && inZone > (job.tasks() + 1) / 2;
+        boolean otherZone = job.zone().filter(z -> !z.equals(worker.zone)).isPresent();
+        if ((job.sameZone() && zones.size() > 1) || (worker.spot && !job.spot()) || tooMany || otherZone) {
             broken.add("wrong_place: " + started.piece);
         }
+        begunAt.putIfAbsent(started.piece.job(), sim.now());
+        if (cancelled.containsKey(started.piece.job())) {
+            startsAfterCancel.add(started.piece.toString());
+        }
+    }
+
+    // What is checked at a day's end
+
+    /** Once the troubles are over, no job waits long while a machine that fits has room and its team is under its limit. */
+    private void waits() {
+        if (!calm || mostMachines != 7) {
+            return;
+        }
+        List<WorkerStandIn.Task> live = live();
+        for (Submission job : jobs.values()) {
+            boolean over = over(job.id()) || wantedGone.contains(job.id()) || !told.containsKey(job.id());
+            int ended = done.getOrDefault(job.id(), Set.of()).size();
+            long here = live.stream().filter(t -> t.piece.job().equals(job.id())).count();
+            boolean missing = job.gang() ? here < job.tasks() : here + ended < job.tasks();
+            long used = live.stream().filter(t -> jobs.get(t.piece.job()).team().equals(job.team())).count();
+            long needs = job.gang() ? job.tasks() - here : 1;
+            boolean underLimit = used + needs <= (job.team().equals("red") ? QUOTA_RED : QUOTA_BLUE);
+            if (over || !missing || !underLimit || room(job) < needs) {
+                waitsBesideRoom.remove(job.id());
+            } else if (sim.now().minus(waitsBesideRoom.computeIfAbsent(job.id(), k -> sim.now())).compareTo(LONGEST_WAIT) > 0) {
+                broken.add("waits beside room: " + job.id());
+                waitsBesideRoom.remove(job.id());
+            }
+        }
+    }
+
+    /** Tasks of a job that would find room now, in one zone if they must be together. */
+    private int room(Submission job) {
+        var perZone = new HashMap<String, Integer>();
+        for (WorkerStandIn w : workers.values()) {
+            boolean fits = !w.dead && !w.mute && !w.oneWay && w.takenAt == null && (job.spot() || !w.spot) && job.zone().map(w.zone::equals).orElse(true);
+            if (fits) {
+                perZone.merge(w.zone, SLOTS - (int) w.held(), Integer::sum);
+            }
+        }
+        return job.sameZone() ? perZone.values().stream().mapToInt(n -> n).max().orElse(0) : perZone.values().stream().mapToInt(n -> n).sum();
+    }
+
+    private boolean over(String id) {
+        return List.of("done", "cancelled").contains(told.getOrDefault(id, ""));
+    }
+
+    /**
+     * What fails a day: an accepted job about which no controller answers any more, a class, a team or a class's largest jobs of which
+     * less than half are served, and largest jobs that began late.
+     */
+    public List<String> dayFailures() {
+        var failures = new ArrayList<String>();
+        for (String id : told.keySet()) {
+            for (int node = 0; node < 3; node++) {
+                var answer = poll(node, id);
+                if (!answer.isDone() || answer.join().status() != 200) {
+                    failures.add("forgotten: " + id + " at n" + node);
+                }
+            }
+        }
+        var kept = jobs.values().stream().filter(j -> told.containsKey(j.id()) && !wantedGone.contains(j.id())).toList();
+        var groups = new TreeMap<String, List<Submission>>();
+        for (Submission j : kept) {
+            groups.computeIfAbsent("class " + j.jobClass() + (j.gang() ? " of gangs" : ""), k -> new ArrayList<>()).add(j);
+            groups.computeIfAbsent("team " + j.team(), k -> new ArrayList<>()).add(j);
+        }
+        for (boolean gang : new boolean[] {true, false}) {
+            int largest = kept.stream().filter(j -> j.gang() == gang).mapToInt(Submission::tasks).max().orElse(0);
+            kept.stream().filter(j -> j.gang() == gang && j.tasks() == largest).forEach(j -> groups.computeIfAbsent("largest " + (gang ? "gangs" : "arrays"), k -> new ArrayList<>()).add(j));
+        }
+        groups.forEach((name, members) -> {
+            if (members.stream().filter(j -> lastTold(j.id()).equals("done")).count() * 2 < members.size()) {
+                failures.add("less than half served: " + name);
+            }
+            if (name.startsWith("largest")) {
+                members.stream().filter(j -> !begunAt.containsKey(j.id()) || begunAt.get(j.id()).minus(submittedAt.get(j.id())).compareTo(LARGEST_BEGIN) > 0)
+                        .forEach(j -> failures.add(name + " began late: " + j.id()));
+            }
+        });
+        if (begunAt.isEmpty()) {
+            failures.add("nothing_ran");
+        }
+        return failures;
     }
 
     boolean isGang(PieceId piece) {
@@ -549,7 +752,7 @@
     }
 
     boolean gangIntact(WorkerStandIn.Task one) {
-        return gangComplete(one);
+        return gangComplete(one) && members(one).stream().noneMatch(t -> workers.containsKey(t.host()) && workers.get(t.host()).hangNoticed());
     }
 
     void startGang(WorkerStandIn.Task one) {
@@ -562,9 +765,17 @@
 
     void finished(WorkerStandIn.Task one) {
         List<WorkerStandIn.Task> all = isGang(one.piece) ? members(one) : List.of(one);
+        if (all.stream().anyMatch(t -> workers.containsKey(t.host()) && workers.get(t.host()).hung())) {
+            return; // a gang makes no progress while one of its machines hangs
+        }
         all.forEach(t -> {
             done.computeIfAbsent(t.piece.job(), j -> new HashSet<>()).add(t.piece.index());
             t.exit("done");
         });
+        String id = one.piece.job();
+        if (done.get(id).size() == jobs.get(id).tasks() && cancelledAtEnd > 0 && sim.random.nextDouble() < cancelledAtEnd) {
+            met("cancelled at its end");
+            sim.after(sim.random.nextInt(5), () -> cancel(id));
+        }
     }
 }
