--- a/src/test/java/org/dunespindle/sim/TroubleMix.java
+++ b/src/test/java/org/dunespindle/sim/TroubleMix.java
@@ -71,6 +71,11 @@
         });
     }
 
+    /** Something of a test's own, some time into the day. */
+    void at(Duration at, Runnable what) {
+        world.sim.after(at, what);
+    }
+
     /** So many troubles of any kind, close enough to meet. */
     void addAny(int count) {
         Trouble[] all = Trouble.values();
@@ -94,7 +99,7 @@
         return wrong;
     }
 
-    private int leader() {
+    int leader() {
         return Math.max(0, world.leader());
     }
 
--- a/src/test/java/org/dunespindle/sim/WorkerStandIn.java
+++ b/src/test/java/org/dunespindle/sim/WorkerStandIn.java
@@ -270,7 +270,7 @@
             }
             if (t.phase.equals("pulling") && tasks.get(key) == t && !dead) {
                 t.phase = world.isGang(piece) ? "gathering" : "running";
-                t.endsAt = sim.now().plus(world.taskTime.orElse(Duration.ofMillis(2000 + sim.random.nextInt(6000))));
+                t.endsAt = sim.now().plus(world.lengthOf.apply(piece).or(() -> world.taskTime).orElse(Duration.ofMillis(2000 + sim.random.nextInt(6000))));
                 t.gatherUntil = sim.now().plus(World.GANG_WAIT);
                 world.started(this, t);
                 world.changed();
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -87,6 +87,8 @@
     public double lateWrites;
     /** The part of the jobs' ends at whose very moment their users call them off. */
     public double cancelledAtEnd;
+    /** Users ask about a job, and repeat its submission, at its very end. */
+    public boolean repeatedAtEnd;
     /** The only controller that users reach, or -1 for any that is healthy. */
     public int usersAt = -1;
     /** Whether somebody still makes trouble; what must hold once troubles are over is watched from then on. */
@@ -160,6 +162,22 @@
         }
     }
 
+    /** How much longer every message takes, and the state service's answers. */
+    public int slowMillis;
+    public int slowStateMillis;
+    /** How long a certain task runs, if not as long as others. */
+    public java.util.function.Function<PieceId, java.util.Optional<Duration>> lengthOf = p -> java.util.Optional.empty();
+    /** When the last task of a job completed. */
+    public java.util.Optional<Duration> completedAt(String id) {
+        return java.util.Optional.ofNullable(completed.get(id));
+    }
+
+    /** When its user was told first that a job is over. */
+    public java.util.Optional<Duration> toldOverAt(String id) {
+        return over(id) ? java.util.Optional.ofNullable(overAt.get(id)) : java.util.Optional.empty();
+    }
+
+    private final Map<String, Duration> completed = new HashMap<>();
     /** How long tasks run, if not a few seconds. */
     public java.util.Optional<Duration> taskTime = java.util.Optional.empty();
     /** Calls by kind so far, and changes written. */
@@ -257,7 +275,7 @@
     }
 
     private long delay() {
-        return 2 + sim.random.nextInt(15) + (sim.random.nextInt(50) == 0 ? 300 : 0);
+        return 2 + slowMillis + sim.random.nextInt(15) + (sim.random.nextInt(50) == 0 ? 300 : 0);
     }
 
     private Caller caller(Sim.Process owner, int from) {
@@ -319,7 +337,8 @@
             return; // executed, or not there; either way no answer comes
         }
         byte[] bytes = address.startsWith("node") ? Admin.write(reply.body()) : Pack.write(reply.body());
-        sim.after(delay(), () -> owner.arrive(() -> result.complete(new HttpAnswer(reply.status(), bytes))));
+        int slow = slowStateMillis > 0 && address.startsWith("state") ? sim.random.nextInt(slowStateMillis) : 0;
+        sim.after(delay() + slow, () -> owner.arrive(() -> result.complete(new HttpAnswer(reply.status(), bytes))));
     }
 
     private StateStandIn.Reply reply(String address, String method, String target, JsonNode body, byte[] raw, WorkerStandIn w) {
@@ -773,6 +792,17 @@
             t.exit("done");
         });
         String id = one.piece.job();
+        if (done.get(id).size() == jobs.get(id).tasks()) {
+            completed.putIfAbsent(id, sim.now());
+            if (repeatedAtEnd) {
+                sim.after(sim.random.nextInt(300), () -> repeat(id));
+                sim.after(sim.random.nextInt(300), () -> ask(n -> n.poll(id, a -> {
+                    if (a.status() == 200) {
+                        told(id, sim.now(), a);
+                    }
+                }), () -> { }));
+            }
+        }
         if (done.get(id).size() == jobs.get(id).tasks() && cancelledAtEnd > 0 && sim.random.nextDouble() < cancelledAtEnd) {
             met("cancelled at its end");
             sim.after(sim.random.nextInt(5), () -> cancel(id));
