--- a/src/main/java/org/dunespindle/bookkeeping/JobRecord.java
+++ b/src/main/java/org/dunespindle/bookkeeping/JobRecord.java
@@ -161,9 +161,14 @@
 
     /** Gives up a claim whose task is proven gone; an array's task runs again unless it is done. */
     public JobRecord released(int task, boolean done) {
-        var all = new ArrayList<Claim>();
+        return released(Map.of(task, done));
+    }
+
+    /** The same for several at once, which for a large array is one pass over its claims instead of one for each. */
+    public JobRecord released(Map<Integer, Boolean> ended) {
+        var all = new ArrayList<Claim>(claims.size());
         claims.forEach(c -> {
-            if (c.task() != task) {
+            if (!ended.containsKey(c.task())) {
                 all.add(c);
             }
         });
@@ -172,9 +177,11 @@
             return with(end, generation, next, again, all, m, m == Mode.IDLE ? 0 : attempt).compact();
         }
         var waiting = new ArrayList<>(again);
-        if (!done || job().shape() == Shape.SERVICE) {
-            waiting.add(task); // a service's task that ends is started again: only its user ends a service
-        }
+        ended.forEach((task, done) -> {
+            if (!done || job().shape() == Shape.SERVICE) {
+                waiting.add(task); // a service's task that ends is started again: only its user ends a service
+            }
+        });
         boolean over = end == End.OPEN && next == job().tasks() && waiting.isEmpty() && all.isEmpty();
         return with(over ? End.DONE : end, generation, next, waiting, all, mode, attempt).compact();
     }
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -51,7 +51,8 @@
     private static final int ROUND_SHARE = 4;
     private static final int PLAN_SHARE = 10;
     private static final int RECORD_RESERVE = 1600;
-    private static final int RECORD_PER_TASK = 22;
+    /** What a task takes of its job's record at least, however many share a machine: a run of tasks breaks up while they end one by one. */
+    private static final int RECORD_PER_TASK = 6;
     private static final long LONGEST_MICROS = 60_000_000L;
     private final Settings settings;
     private final Timeline timeline;
--- a/src/main/java/org/dunespindle/coordination/JobChanges.java
+++ b/src/main/java/org/dunespindle/coordination/JobChanges.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.dunespindle.bookkeeping.JobRecord;
 
 /** Applies what became of claims to a job's record. Pure. */
@@ -16,12 +18,21 @@
 
     public static JobRecord apply(JobRecord job, List<Reconciler.Event> events, Instant now) {
         JobRecord j = job;
+        var ended = new TreeMap<Integer, Boolean>();
+        boolean plain = job.open() && !job.job().gang();
+        var bases = new HashMap<Integer, Long>();
+        job.claims().forEach(c -> bases.put(c.task(), c.base()));
         for (Reconciler.Event e : events) {
-            if (j.claim(e.task()).filter(c -> c.base() == e.base()).isPresent()) {
+            if (bases.getOrDefault(e.task(), -1L) != e.base() || ended.containsKey(e.task())) {
+                continue;
+            }
+            if (plain && (e.fate() == Reconciler.Fate.DONE || e.fate() == Reconciler.Fate.GONE)) {
+                ended.put(e.task(), e.fate() == Reconciler.Fate.DONE);
+            } else if (j.claim(e.task()).filter(c -> c.base() == e.base()).isPresent()) {
                 j = one(j, e, now);
             }
         }
-        return j;
+        return ended.isEmpty() ? j : j.released(ended);
     }
 
     private static JobRecord one(JobRecord j, Reconciler.Event e, Instant now) {
--- a/src/main/java/org/dunespindle/coordination/Placements.java
+++ b/src/main/java/org/dunespindle/coordination/Placements.java
@@ -27,6 +27,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(Placements.class);
     /** Stopping tasks splits groups of claims, so a record is not filled to the brim by placing. */
     private static final double FILLED_BY_PLACING = 0.7;
+    /** A run of tasks on a machine is short in the record, and at its longest when every other one has left and is to start again. */
+    private static final int BROKEN_UP_PER_TASK = 6;
+    private static final double FILLED_WHEN_BROKEN_UP = 0.9;
     private static final int OTHER_GUARDS = 3;
     private static final int MOST_WAITING = 8;
     private static final int MOST_WAITING_GANGS = 24;
@@ -115,7 +118,14 @@
         return places;
     }
 
-    private void place(JobRecord job, Map<Integer, String> places, Map<String, Resources> use) {
+    private void place(JobRecord job, Map<Integer, String> wanted, Map<String, Resources> use) {
+        var txn = new Txn();
+        List<Reconciler.Event> told = new ArrayList<>();
+        JobRecord folded = outcomes.fold(job, txn, told);
+        Map<Integer, String> places = asManyAsFit(folded, wanted);
+        if (places.isEmpty()) {
+            return; // some of its tasks must end first
+        }
         String team = job.job().team();
         String teamKey = Keys.team(team);
         Resources need = job.job().perTask().times(places.size());
@@ -129,19 +139,18 @@
         var view = new TeamLedger.View(settings.teams().get(team), settings.seeds().size() + 1, TeamLedger.Entry.parse(replica.value(teamKey)), entitled, s.spent, s.unsure,
                 replica.syncedTo() >= s.stamp, used);
         TeamLedger.Way way = TeamLedger.way(view, need);
-        var txn = new Txn().guard(teamKey, s.stamp);
         if (way instanceof TeamLedger.Way.Close close) {
-            committer.propose(Committer.Lane.PLACING, txn.write(teamKey, close.entry().toNode()), r -> { });
+            committer.propose(Committer.Lane.PLACING, new Txn().guard(teamKey, s.stamp).write(teamKey, close.entry().toNode()), r -> { });
             return;
         }
         if (way instanceof TeamLedger.Way.Wait) {
             return;
         }
+        txn.guard(teamKey, s.stamp);
         if (way instanceof TeamLedger.Way.Write write) {
             txn.write(teamKey, write.entry().toNode());
         }
-        List<Reconciler.Event> told = new ArrayList<>();
-        JobRecord placed = outcomes.fold(job, txn, told).placed(places);
+        JobRecord placed = folded.placed(places);
         if (job.job().gang() && job.job().tasks() == 1) {
             placed = placed.real(); // its placeholder would be the whole gang and start, so it runs directly
         }
@@ -152,8 +161,8 @@
         if (job.job().gang()) {
             txn.guard(Keys.LEADER, replica.stamp(Keys.LEADER));
         }
-        if (Pack.countedSize(node) > settings.state().valueBytes() * FILLED_BY_PLACING || !txn.fits(settings.state().txnOps())) {
-            return; // some of its tasks must end first
+        if (!txn.fits(settings.state().txnOps())) {
+            return;
         }
         use.merge(team, need, Resources::plus);
         s.spent = s.spent.plus(need);
@@ -169,6 +178,26 @@
         });
     }
 
+    /** Of some places as many as the job's record takes, now and while its tasks end one by one. */
+    private Map<Integer, String> asManyAsFit(JobRecord job, Map<Integer, String> places) {
+        Map<Integer, String> some = places;
+        while (!some.isEmpty()) {
+            if (fits(job.placed(some), settings.state().valueBytes())) {
+                return some;
+            }
+            var half = new LinkedHashMap<Integer, String>();
+            some.entrySet().stream().limit(some.size() / 2).forEach(e -> half.put(e.getKey(), e.getValue()));
+            some = half;
+        }
+        return some;
+    }
+
+    /** Whether a record stays within a value's limit whatever becomes of its tasks: one that grows beyond it could never be written again. */
+    static boolean fits(JobRecord placed, int valueBytes) {
+        int size = Pack.countedSize(placed.toNode());
+        return size <= valueBytes * FILLED_BY_PLACING && size + BROKEN_UP_PER_TASK * placed.claims().size() <= valueBytes * FILLED_WHEN_BROKEN_UP;
+    }
+
     private void propose(Txn txn, String id, JobRecord record, java.util.function.Consumer<TxnResult> then) {
         proposed.put(id, record);
         committer.propose(Committer.Lane.PLACING, txn, r -> {
--- /dev/null
+++ b/src/test/java/org/dunespindle/coordination/PlacementsTest.java
@@ -0,0 +1,86 @@
+package org.dunespindle.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.dunespindle.bookkeeping.Claim;
+import org.dunespindle.bookkeeping.JobRecord;
+import org.dunespindle.protocol.Pack;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.protocol.Submission;
+
+/** How much of a large array is placed at once. */
+class PlacementsTest {
+    private static final int VALUE = 8192;
+
+    private static JobRecord array(int tasks) {
+        return JobRecord.accepted(new Submission("wk-000001", "class", "red", Shape.ARRAY, Priority.LOW, tasks, new Resources(0.25, 0, 1), Optional.empty(), Optional.empty(), false, false, true, "image",
+                2, Duration.ofSeconds(4), Duration.ZERO, Duration.ZERO, Optional.empty()), Instant.EPOCH);
+    }
+
+    /** Many or few to a machine, ending, failing and placed again in any order. */
+    @Property(seed = "71", tries = 60)
+    void aRecordNeverOutgrowsItsValue(@ForAll long seed) {
+        var random = new Random(seed);
+        int perMachine = 1 + random.nextInt(96);
+        JobRecord j = array(25_000);
+        int most = 0;
+        for (int step = 0; step < 60; step++) {
+            var places = new LinkedHashMap<Integer, String>();
+            int count = 1 + random.nextInt(random.nextBoolean() ? 400 : 3000);
+            int i = 0;
+            for (int task : j.unplaced(count)) {
+                places.put(task, "i-%05d".formatted(i++ / perMachine));
+            }
+            if (!places.isEmpty() && Placements.fits(j.placed(places), VALUE)) {
+                j = j.placed(places);
+            }
+            most = Math.max(most, j.claims().size());
+            int pattern = random.nextInt(3);
+            var ended = new TreeMap<Integer, Boolean>();
+            for (Claim c : j.claims()) {
+                if (pattern == 0 ? random.nextInt(3) == 0 : pattern == 1 ? c.task() % 2 == 0 : random.nextInt(10) == 0) {
+                    ended.put(c.task(), pattern != 1 && random.nextInt(4) > 0);
+                }
+            }
+            j = j.released(ended);
+            int size = Pack.countedSize(j.toNode());
+            assertTrue(size <= VALUE, size + " bytes with " + j.claims().size() + " claims");
+        }
+        assertTrue(perMachine < 48 || most > 300, "no more than " + most + " under way");
+    }
+
+    /** Ended together or one after the other, the record is the same. */
+    @Property(seed = "72", tries = 100)
+    void outcomesTogetherAreOutcomesOneByOne(@ForAll long seed) {
+        var random = new Random(seed);
+        var places = new LinkedHashMap<Integer, String>();
+        for (int i = 0; i < 1 + random.nextInt(40); i++) {
+            places.put(i, "i-%05d".formatted(i / 8));
+        }
+        JobRecord j = array(random.nextBoolean() ? places.size() : 100).placed(places);
+        var events = new ArrayList<Reconciler.Event>();
+        for (Claim c : j.claims()) {
+            if (random.nextInt(3) > 0) {
+                events.add(new Reconciler.Event(j.id(), c.task(), random.nextInt(8) == 0 ? 99 : c.base(), List.of(Reconciler.Fate.DONE, Reconciler.Fate.GONE).get(random.nextInt(2)), "ended"));
+            }
+        }
+        JobRecord one = j;
+        for (Reconciler.Event e : events) {
+            one = JobChanges.apply(one, List.of(e), Instant.EPOCH);
+        }
+        assertEquals(one.toNode(), JobChanges.apply(j, events, Instant.EPOCH).toNode());
+    }
+}
