--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.ToIntFunction;
 import org.HdrHistogram.Histogram;
 import org.dunespindle.bookkeeping.Claim;
 import org.dunespindle.bookkeeping.HostRecord;
@@ -64,6 +65,7 @@
     private final Vigil vigil;
     private final Stops stops = new Stops();
     private final Cancellations cancellations;
+    private final Faults faults;
     private final MachineEdits edits;
     private final HostDesk hostDesk;
     private final Peers peers;
@@ -115,15 +117,16 @@
         this.membership = new Membership(settings.nodeName(), state, replica, timeline);
         this.committer = new Committer(state, replica, timeline, settings.state().txnOps(), this::wake);
         this.edits = new MachineEdits(replica, committer, timeline);
+        this.faults = new Faults(replica::job);
         this.cancellations = new Cancellations(settings, replica, timeline);
         this.hostDesk = new HostDesk(settings, replica, membership, edits, http, timeline, sessions, decisions, stops, cancellations, vigil, this::cutOff, this::fellQuiet, this::wake);
         this.peers = new Peers(settings, http, timeline, membership::incarnation, membership::leader, (host, image) -> sessions.of(host).fetched(image), replica,
                 (node, asked, cancelled) -> hostDesk.cancelledElsewhere(cancellations.answered(node, asked, cancelled)));
         this.writeShare = new WriteShare(settings, peers, membership, committer, state, timeline);
         this.cloud = new CloudClient(http, settings, timeline);
-        this.fleet = new Fleet(settings, replica, membership, edits, hostDesk, cloud, timeline, sessions, peers, decisions, targets, vigil, this::options, () -> catalog);
+        this.fleet = new Fleet(settings, replica, membership, edits, hostDesk, cloud, timeline, sessions, peers, decisions, targets, vigil, faults, this::options, () -> catalog);
         this.ownership = new Ownership(settings, replica, membership, hostDesk, edits, peers, sessions, timeline, this::options);
-        this.outcomes = new Outcomes(settings, replica, membership, committer, hostDesk, sessions, timeline, decisions);
+        this.outcomes = new Outcomes(settings, replica, membership, committer, hostDesk, sessions, timeline, decisions, faults);
         this.placements = new Placements(settings, replica, membership, committer, edits, outcomes, stops, hostDesk, timeline, decisions, this::takesTasks);
         this.gangs = new Gangs(settings, replica, committer, hostDesk, sessions, timeline, decisions, this::options);
         this.admin = new Admin(settings, replica, membership, committer, edits, decisions, this, new TreeMap<>(Map.of("decisionRound", rounds, "plan", plans, "stateCall", state.latency(),
@@ -155,6 +158,9 @@
         if (j.spec().isPresent() && j.job().gang() && j.mode() == JobRecord.Mode.STOP) {
             return "its members are being stopped before it is placed again";
         }
+        if (faults.faultyJob(j.id())) {
+            return "its tasks have failed " + j.failures() + " times, on " + faults.machinesOf(j.id()).size() + " machines seen from here, and none ended well; one is tried at a time, with growing pauses";
+        }
         if (j.unplacedCount() == 0) {
             return "its placeholders fetch the image";
         }
@@ -225,6 +231,7 @@
             peers.tell(replica.age(), writeShare.need(), peers.leaderListens() ? news() : List.of());
             peers.keepOnly(replica.hosts().keySet());
             cancellations.prune();
+            faults.prune(replica.hosts()::containsKey);
             sessions.forget(replica.hosts().keySet(), timeline.now());
         }
         timeline.after(WORD_EVERY, this::word);
@@ -390,7 +397,9 @@
             }
         }
         int most = Math.max(8, (settings.state().valueBytes() - RECORD_RESERVE) / RECORD_PER_TASK);
-        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), most, outcomes.ended(), leftAlone(jobs), leads,
+        // A job that fails everywhere takes the room of one task, until one ends well or its user cancels it.
+        ToIntFunction<JobRecord> mostTasks = j -> faults.faultyJob(j.id()) ? 1 : most;
+        return new Planner.Snapshot(timeline.wallTime(), jobs, hosts, settings.teams(), places, fleet.refused(), mostTasks, outcomes.ended(), leftAlone(jobs), leads,
                 leads ? headroom.phantoms(options().spareJobs(), timeline.wallTime()) : List.of(), targets, leads ? progress(jobs) : p -> Duration.ZERO);
     }
 
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -60,6 +60,7 @@
     private final Targets targets;
     private final Vigil vigil;
     private final Silence silence;
+    private final Faults faults;
     private final Supplier<Options> options;
     private final Supplier<Optional<List<MachineType>>> catalog;
     private final Map<Planner.Market, Refusal> refusals = new HashMap<>();
@@ -84,7 +85,7 @@
     private record Refusal(Duration until, Duration pause) {}
 
     public Fleet(Settings settings, Replica replica, Membership membership, MachineEdits edits, HostDesk hostDesk, CloudClient cloud, Timeline timeline, Sessions sessions,
-            Peers peers, Decisions decisions, Targets targets, Vigil vigil, Supplier<Options> options, Supplier<Optional<List<MachineType>>> catalog) {
+            Peers peers, Decisions decisions, Targets targets, Vigil vigil, Faults faults, Supplier<Options> options, Supplier<Optional<List<MachineType>>> catalog) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
@@ -97,6 +98,7 @@
         this.peers = peers;
         this.decisions = decisions;
         this.vigil = vigil;
+        this.faults = faults;
         this.silence = new Silence(settings, replica, membership, hostDesk, peers, sessions, timeline, vigil, id -> Optional.ofNullable(listed.get(id)).map(ListedMachine::address).filter(a -> !a.isEmpty()));
         this.options = options;
         this.catalog = catalog;
@@ -324,7 +326,7 @@
 
     /** A machine on which tasks of different jobs keep failing. */
     public boolean bad(String host) {
-        return sessions.known(host).filter(s -> s.errorsInARow >= options.get().quarantineAfter()).isPresent();
+        return faults.jobsFailedOn(host) >= options.get().quarantineAfter();
     }
 
     private void leave(HostRecord h, String why) {
--- a/src/main/java/org/dunespindle/coordination/FrontDesk.java
+++ b/src/main/java/org/dunespindle/coordination/FrontDesk.java
@@ -238,7 +238,8 @@
             case CANCELLED -> "cancelled";
             case OPEN -> running(j) > 0 ? "running" : "queued";
         };
-        return Answer.of(200, Pack.map().put("id", j.id()).put("phase", phase).put("done", j.doneCount()).put("running", running(j)));
+        ObjectNode body = Pack.map().put("id", j.id()).put("phase", phase).put("done", j.doneCount()).put("running", running(j));
+        return Answer.of(200, j.failures() > 0 ? body.put("failures", j.failures()) : body);
     }
 
     private static int running(JobRecord j) {
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -145,6 +145,9 @@
         if (r.notice().isPresent()) {
             noticed.add(r.host());
         }
+        if (newer) {
+            attendIfNews(r, before);
+        }
         if (newer && wasSilent && session.unprovenSince.isPresent()) {
             // After a cut, or when it has just found its way here: that no command arrived before does not show that none does now.
             session.unprovenSince = Optional.of(now);
@@ -173,16 +176,23 @@
             if (newer && r.token() == record.token()) {
                 session.heardAt = Optional.of(timeline.now());
             }
-            if (newer && before.filter(b -> b.sameAs(r)).isEmpty()) {
-                version++;
-                due.add(r.host());
-                changed.run();
-            }
         } else {
             stray(r, record, session, newer, answer);
         }
     }
 
+    /**
+     * Has a machine looked at when a worker says something new, however it said it and whatever it is answered: the next report may
+     * say the same again, and would be no news. Without this, what was told in an outage or in answer to a question was never acted on.
+     */
+    private void attendIfNews(WorkerReport r, Optional<WorkerReport> before) {
+        if (before.filter(b -> b.sameAs(r)).isEmpty()) {
+            version++;
+            due.add(r.host());
+            changed.run();
+        }
+    }
+
     /** Whether a worker may be answered with 200, as far as cancellations go. */
     private boolean mayRenew() {
         return cancellations.age().compareTo(viewLimit) <= 0;
@@ -670,14 +680,9 @@
                 if (r.notice().isPresent()) {
                     noticed.add(host);
                 }
-                boolean same = s.report.filter(b -> b.sameAs(r)).isPresent();
+                Optional<WorkerReport> before = s.report;
                 s.answered(r, timeline.now());
-                if (!same) {
-                    // What an answer shows is not news any more when the next report says it again: without this a lost task was never missed.
-                    version++;
-                    due.add(host);
-                    changed.run();
-                }
+                attendIfNews(r, before);
                 return true;
             }
         } catch (MalformedException ex) {
--- a/src/main/java/org/dunespindle/coordination/Outcomes.java
+++ b/src/main/java/org/dunespindle/coordination/Outcomes.java
@@ -42,6 +42,7 @@
     private final Sessions sessions;
     private final Timeline timeline;
     private final Decisions decisions;
+    private final Faults faults;
     private final Membership membership;
     private final Settings settings;
     private final int mostHosts;
@@ -51,7 +52,8 @@
 
     private record Seen(Reconciler.Event event, Duration since) {}
 
-    Outcomes(Settings settings, Replica replica, Membership membership, Committer committer, HostDesk hostDesk, Sessions sessions, Timeline timeline, Decisions decisions) {
+    Outcomes(Settings settings, Replica replica, Membership membership, Committer committer, HostDesk hostDesk, Sessions sessions, Timeline timeline, Decisions decisions, Faults faults) {
+        this.faults = faults;
         this.settings = settings;
         this.membership = membership;
         this.replica = replica;
@@ -157,14 +159,15 @@
 
     void tell(JobRecord job, Reconciler.Event e) {
         String host = job.claim(e.task()).map(Claim::host).orElse("?");
-        Sessions.Session s = sessions.of(host);
         if (e.fate() == Reconciler.Fate.ERROR) {
             decisions.tell(LOG, "task {}/{} failed on machine {}; it is started again elsewhere or later", job.id(), e.task(), host);
-            s.errorsInARow = s.lastErrorJob.equals(job.id()) && s.errorsInARow > 0 ? s.errorsInARow : s.errorsInARow + 1;
-            s.lastErrorJob = job.id();
+            boolean known = faults.faultyJob(job.id());
+            faults.failed(job.id(), host);
+            if (!known && faults.faultyJob(job.id())) {
+                decisions.tell(LOG, "job {} fails on every machine: on {} so far; it is taken for faulty and tried ever more seldom until its user cancels it", job.id(), faults.machinesOf(job.id()));
+            }
         } else if (e.fate() == Reconciler.Fate.DONE) {
-            s.errorsInARow = 0;
-            s.lastErrorJob = "";
+            faults.succeeded(job.id(), host);
         } else if (job.open()) {
             decisions.tell(LOG, "task {}/{} left machine {}: {}", job.id(), e.task(), host, e.why());
         }
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -15,6 +15,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.ToIntFunction;
 import org.dunespindle.bookkeeping.Claim;
 import org.dunespindle.bookkeeping.JobRecord;
 import org.dunespindle.protocol.Resources;
@@ -34,13 +35,14 @@
     /**
      * Everything a plan depends on.
      *
+     * @param mostTasks how many tasks of an array may be under way at once
      * @param ended tasks whose end is reported but not stored yet: their room is free, their team's use is not
      * @param leftAlone jobs that another controller is placing, or that wait for more: not booked here now
      * @param gangs whether gangs are planned here
      * @param progress how long tasks have been under way, as far as known here
      */
     public record Snapshot(Instant now, List<JobRecord> jobs, List<Host> hosts, Map<String, Settings.Team> teams, Map<String, Place> whereabouts,
-            Set<Market> refused, int mostTasksPerJob, Set<Ended> ended, Set<String> leftAlone, boolean gangs, List<Headroom.Phantom> phantoms, Targets targets,
+            Set<Market> refused, ToIntFunction<JobRecord> mostTasks, Set<Ended> ended, Set<String> leftAlone, boolean gangs, List<Headroom.Phantom> phantoms, Targets targets,
             Function<Started, Duration> progress) {}
 
     /** A claim whose task has ended. */
@@ -196,7 +198,9 @@
             // A gang of one never holds partial room, so it does not queue for placement either.
             var heads = new HashMap<String, JobRecord>();
             for (JobRecord j : s.jobs()) {
-                if (j.open() && j.job().gang() && j.job().tasks() > 1 && j.unplacedCount() > 0) {
+                // Nor does one that pauses after its tasks failed: it would keep its team's other gangs waiting for as long as it fails.
+                boolean pauses = j.mode() == JobRecord.Mode.IDLE && j.notBefore().filter(t -> t.isAfter(s.now())).isPresent();
+                if (j.open() && j.job().gang() && j.job().tasks() > 1 && j.unplacedCount() > 0 && !pauses) {
                     heads.merge(j.job().team(), j, (a, b) -> earlier(a, b) ? a : b);
                 }
             }
@@ -382,7 +386,7 @@
                 kept = reserved.getOrDefault(job.team(), Resources.NONE);
                 zones = new Zones(j);
                 unplaced = j.unplacedCount();
-                most = Math.min(unplaced, Math.max(0, s.mostTasksPerJob() - j.claims().size()));
+                most = Math.min(unplaced, Math.max(0, s.mostTasks().applyAsInt(j) - j.claims().size()));
                 order = j.unplaced(most).iterator();
             }
 
--- a/src/main/java/org/dunespindle/coordination/Sessions.java
+++ b/src/main/java/org/dunespindle/coordination/Sessions.java
@@ -44,8 +44,6 @@
         boolean verifying;
         /** When this worker was last sent away because this controller was cut off. */
         Optional<Duration> turnedAwayAt = Optional.empty();
-        int errorsInARow;
-        String lastErrorJob = "";
         /** What became of claims here, not stored yet; since when. */
         List<Reconciler.Event> events = List.of();
         Duration eventsSince = Duration.ZERO;
--- a/src/test/java/org/dunespindle/TestSettings.java
+++ b/src/test/java/org/dunespindle/TestSettings.java
@@ -33,6 +33,12 @@
                 cpus_max = 0.0
                 gpus = 2.0
                 gpus_max = 6.0
+                [[deployment.teams]]
+                name = "green"
+                cpus = 0.0
+                cpus_max = 0.0
+                gpus = 0.0
+                gpus_max = 0.0
                 [deployment.workers]
                 report_s = 1.0
                 lease_s = 10.0
--- /dev/null
+++ b/src/test/java/org/dunespindle/coordination/FaultsTest.java
@@ -0,0 +1,88 @@
+package org.dunespindle.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.dunespindle.bookkeeping.JobRecord;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.protocol.Submission;
+import org.junit.jupiter.api.Test;
+
+/** Whether what failed is held against the machine or the job. */
+class FaultsTest {
+    private final Map<String, JobRecord> records = new HashMap<>();
+    private final Faults faults = new Faults(id -> Optional.ofNullable(records.get(id)));
+
+    /** A job's task fails, and its record tells of it. */
+    private void failed(String job, String machine) {
+        records.put(job, record(job).failed(1, Optional.empty()));
+        faults.failed(job, machine);
+    }
+
+    private JobRecord record(String job) {
+        return records.computeIfAbsent(job, id -> JobRecord.accepted(new Submission(id, "class", "red", Shape.ARRAY, Priority.LOW, 9, new Resources(1, 1, 1), Optional.empty(), Optional.empty(), false,
+                false, true, "image", 2, Duration.ofSeconds(4), Duration.ZERO, Duration.ZERO, Optional.empty()), Instant.EPOCH));
+    }
+
+    @Test
+    void aJobThatFailsEverywhereIsHeldAgainstNoMachine() {
+        for (String job : new String[] {"wk-1", "wk-2", "wk-3"}) {
+            for (String machine : new String[] {"a", "b"}) {
+                failed(job, machine);
+            }
+        }
+        assertTrue(faults.faultyJob("wk-1"));
+        assertEquals(0, faults.jobsFailedOn("a"));
+    }
+
+    @Test
+    void aMachineOnWhichDifferentJobsFailIsFaulty() {
+        failed("wk-1", "a");
+        failed("wk-1", "a");
+        failed("wk-2", "a");
+        failed("wk-3", "a");
+        assertFalse(faults.faultyJob("wk-1"));
+        assertEquals(3, faults.jobsFailedOn("a"));
+        faults.succeeded("wk-4", "a");
+        assertEquals(0, faults.jobsFailedOn("a"));
+    }
+
+    @Test
+    void oneThatEndedWellSomewhereIsNotFaultyHoweverManyMachinesAre() {
+        faults.succeeded("wk-1", "z");
+        for (String machine : new String[] {"a", "b", "c", "d"}) {
+            failed("wk-1", machine);
+        }
+        assertFalse(faults.faultyJob("wk-1"));
+        assertEquals(1, faults.jobsFailedOn("a"));
+    }
+
+    /** Two faulty jobs that met on one machine first: the other controllers' machines saw them fail too, and the records tell. */
+    @Test
+    void whatFailsElsewhereTooSaysNothingAboutOneMachine() {
+        failed("wk-1", "a");
+        failed("wk-2", "a");
+        assertEquals(2, faults.jobsFailedOn("a"));
+        records.put("wk-1", records.get("wk-1").failed(4, Optional.empty()));
+        assertEquals(1, faults.jobsFailedOn("a"));
+    }
+
+    @Test
+    void whatIsOverIsForgotten() {
+        failed("wk-1", "a");
+        failed("wk-2", "a");
+        records.put("wk-1", records.get("wk-1").cancelled());
+        faults.prune("a"::equals);
+        assertEquals(1, faults.jobsFailedOn("a"));
+        faults.prune("b"::equals);
+        assertEquals(0, faults.jobsFailedOn("a"));
+    }
+}
--- a/src/test/java/org/dunespindle/coordination/PlannerTest.java
+++ b/src/test/java/org/dunespindle/coordination/PlannerTest.java
@@ -43,7 +43,7 @@
     private static Planner.Plan plan(List<JobRecord> jobs, List<Planner.Host> hosts) {
         var places = new HashMap<String, Planner.Place>();
         hosts.forEach(h -> places.put(h.id(), new Planner.Place(h.type(), h.zone(), h.spot())));
-        return Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), jobs, hosts, TEAMS, places, Set.of(), 100, Set.of(), Set.of(), true, List.of(), TARGETS, p -> Duration.ZERO));
+        return Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), jobs, hosts, TEAMS, places, Set.of(), j -> 100, Set.of(), Set.of(), true, List.of(), TARGETS, p -> Duration.ZERO));
     }
 
     @Property(seed = "21", tries = 200)
@@ -169,7 +169,7 @@
         JobRecord low = job(990, "blue", Shape.ARRAY, Priority.LOW, 5, false, false, true);
         JobRecord equal = job(991, "blue", Shape.ARRAY, Priority.URGENT, 1, false, false, true);
         var hosts = List.of(host("a", "east", false, 4));
-        Planner.Plan plan = Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), List.of(low, equal), hosts, TEAMS, Map.of(), Set.of(), 100, Set.of(), Set.of(), true, List.of(phantom), TARGETS,
+        Planner.Plan plan = Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), List.of(low, equal), hosts, TEAMS, Map.of(), Set.of(), j -> 100, Set.of(), Set.of(), true, List.of(phantom), TARGETS,
                 p -> Duration.ZERO));
         assertEquals(List.of(1, 1), plan.bookings().stream().map(b -> b.places().size()).toList());
     }
--- a/src/test/java/org/dunespindle/sim/MixTest.java
+++ b/src/test/java/org/dunespindle/sim/MixTest.java
@@ -13,8 +13,8 @@
  */
 class MixTest {
     private static final int JOBS = 14;
-    /** Days on which something was found once: tasks lost with a lease that only an answer to a question had shown. */
-    private static final long[] FOUND = {25645, 22145, 24021, 23629, 20279};
+    /** Days on which something was found once: tasks lost or ended that only an answer to a question, or a report in an outage, had shown. */
+    private static final long[] FOUND = {25645, 22145, 24021, 23629, 20279, 41553};
 
     static LongStream seeds() {
         long from = Long.getLong("mix.from", 500);
--- a/src/test/java/org/dunespindle/sim/WorkerStandIn.java
+++ b/src/test/java/org/dunespindle/sim/WorkerStandIn.java
@@ -30,6 +30,8 @@
     boolean oneWay;
     /** Its reports arrive nowhere; commands reach it and are answered. */
     boolean mute;
+    /** Every task that it starts fails. */
+    boolean sick;
     /** Its reports arrive only so much later, long after it has given up waiting for their answers. */
     boolean heldReports;
     Duration heldFor = Duration.ZERO;
@@ -102,6 +104,10 @@
         return tasks.values().stream().filter(t -> !t.phase.equals("exited")).count();
     }
 
+    public void sick(boolean yes) {
+        sick = yes;
+    }
+
     public void mute(boolean yes) {
         mute = yes;
     }
@@ -306,7 +312,10 @@
                     t.exit("stopped");
                 }
             } else if (t.phase.equals("running")) {
-                if (world.isGang(t.piece) && !world.gangIntact(t)) {
+                if (sick || world.faultyJobs.contains(t.piece.job())) {
+                    world.errors.merge(t.piece.job(), 1, Integer::sum);
+                    t.exit("error");
+                } else if (world.isGang(t.piece) && !world.gangIntact(t)) {
                     t.exit("peers");
                 } else if (sim.now().compareTo(t.endsAt) >= 0) {
                     world.finished(t);
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -91,6 +91,10 @@
     public double cancelledAtEnd;
     /** Users ask about a job, and repeat its submission, at its very end. */
     public boolean repeatedAtEnd;
+    /** Jobs submitted with a mistake: each of their tasks fails as soon as it runs. */
+    public final Set<String> faultyJobs = new HashSet<>();
+    /** Tasks that failed, by job. */
+    public final Map<String, Integer> errors = new HashMap<>();
     /** The only controller that users reach, or -1 for any that is healthy. */
     public int usersAt = -1;
     /** Whether somebody still makes trouble; what must hold once troubles are over is watched from then on. */
@@ -559,6 +563,22 @@
         return result;
     }
 
+    /** A question at one controller, whose answer comes in virtual time. */
+    public CompletableFuture<FrontDesk.Answer> question(int node, String id) {
+        var result = new CompletableFuture<FrontDesk.Answer>();
+        nodes[node].frontDesk().poll(id, result::complete);
+        return result;
+    }
+
+    /** What all controllers decided lately, in words. */
+    public String decisions() {
+        var text = new StringBuilder();
+        for (int n = 0; n < 3; n++) {
+            admin(n, "GET", "/v1/decisions", "").join().body().path("decisions").forEach(d -> text.append(d.path("what").asText()).append('\n'));
+        }
+        return text.toString();
+    }
+
     /** A cancellation at one controller, answered within the next seconds of virtual time. */
     public FrontDesk.Answer cancelAt(int node, String id) {
         var result = new CompletableFuture<FrontDesk.Answer>();
