--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -46,6 +46,7 @@
     private static final int MOST_SLOTS = 128;
     private static final int MOST_RETURNED = 100;
     private static final int MOST_RENTED = 50;
+    private static final Duration QUARANTINE = Duration.ofSeconds(15);
     private static final String FAILS = "it fails its tasks";
     private final Settings settings;
     private final Replica replica;
@@ -67,6 +68,7 @@
     private final Map<String, Duration> goneAt = new HashMap<>();
     private final Map<String, Duration> idleSince = new HashMap<>();
     private final Map<String, Duration> firstSeen = new HashMap<>();
+    private final Map<String, Duration> quarantinedSince = new HashMap<>();
     /** Machines rented here whose records are not stored yet; nothing more is rented until they count as room. */
     private final Map<String, Runnable> unrecorded = new LinkedHashMap<>();
     private Map<String, ListedMachine> listed = Map.of();
@@ -179,6 +181,7 @@
             leadingSince = Optional.empty();
             unrecorded.clear();
             firstSeen.clear();
+            quarantinedSince.clear();
             idleSince.clear();
             silence.reset();
             dropped.clear();
@@ -256,6 +259,7 @@
                 edits.remove(h.id(), r -> {
                     if (r instanceof TxnResult.Applied) {
                         firstSeen.remove(h.id());
+                        quarantinedSince.remove(h.id());
                         silence.forget(h.id());
                         dropped.remove(h.id());
                         idleSince.remove(h.id());
@@ -292,7 +296,10 @@
         if (row != null && row.failed()) {
             return Optional.of("it failed");
         }
-        if (peers.machine(h).filter(Peers.Machine::bad).isPresent() || bad(h.id())) {
+        // In quarantine first: jobs that failed there may turn out to fail elsewhere too.
+        boolean fails = peers.machine(h).filter(Peers.Machine::bad).isPresent() || bad(h.id());
+        Duration quarantined = quarantinedSince.compute(h.id(), (id, since) -> !fails ? null : since == null ? now : since);
+        if (quarantined != null && now.minus(quarantined).compareTo(QUARANTINE) > 0) {
             return Optional.of(FAILS);
         }
         Duration silentLimit = options.get().silentBeforeReturn();
@@ -324,7 +331,7 @@
         return limit.compareTo(LEAST_IDLE) > 0 ? limit : set.compareTo(LEAST_IDLE) > 0 ? LEAST_IDLE : set;
     }
 
-    /** A machine on which tasks of different jobs keep failing. */
+    /** A machine in quarantine: tasks of different jobs keep failing there, and nothing new is placed on it. */
     public boolean bad(String host) {
         return faults.jobsFailedOn(host) >= options.get().quarantineAfter();
     }
--- a/src/test/java/org/dunespindle/sim/OperationsTest.java
+++ b/src/test/java/org/dunespindle/sim/OperationsTest.java
@@ -7,12 +7,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.LongStream;
 import org.dunespindle.protocol.Priority;
 import org.dunespindle.protocol.Resources;
 import org.dunespindle.protocol.Shape;
 import org.dunespindle.protocol.Submission;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What operators met on bad nights: faulty jobs, long silences, storms of questions, guests. */
@@ -22,9 +24,14 @@
                 Duration.ZERO, Duration.ZERO, Optional.empty());
     }
 
+    static LongStream faultySeeds() {
+        long from = Long.getLong("faulty.from", 601);
+        return LongStream.range(from, from + Integer.getInteger("faulty.count", 4));
+    }
+
     /** They fail on every machine: no machine is given up for them, they take little, and the rest goes on; once cancelled they are gone. */
     @ParameterizedTest
-    @ValueSource(longs = {601, 602, 603})
+    @MethodSource("faultySeeds")
     void jobsSubmittedWithAMistakeHarmNobodyElse(long seed) {
         var world = new World(seed);
         var faulty = List.of("wk-000101", "wk-000102", "wk-000103");
