--- a/src/main/java/org/dunespindle/Daemon.java
+++ b/src/main/java/org/dunespindle/Daemon.java
@@ -148,7 +148,7 @@
     private void beat(HttpCall call, Consumer<HttpReply> reply) {
         try {
             WorkerReport report = WorkerReport.parse(Pack.read(call.body()));
-            controller.hostDesk().report(report, (status, body) -> {
+            controller.reportDesk().report(report, (status, body) -> {
                 HttpReply whole = packed(status, body, Optional.empty());
                 reply.accept(sockets.scarce() ? whole.andClose() : whole);
             });
@@ -158,7 +158,7 @@
     }
 
     private void peer(HttpCall call, Consumer<HttpReply> reply) {
-        if (call.path().equals("/peer/word") && call.method().equals("POST")) {
+        if (call.path().equals("/peer/heartbeat") && call.method().equals("POST")) {
             reply.accept(json(200, controller.heard(call.body())));
         } else {
             controller.admin().handle(call.method(), call.path(), call.body(), a -> reply.accept(json(a.status(), a.body())));
--- a/src/main/java/org/dunespindle/bookkeeping/Replica.java
+++ b/src/main/java/org/dunespindle/bookkeeping/Replica.java
@@ -13,10 +13,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.CompletionException;
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.Pack;
 import org.dunespindle.transport.AnswerTooLong;
+import org.dunespindle.transport.CallFailure;
 import org.dunespindle.transport.HttpAnswer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -251,7 +251,7 @@
      * staying out, it may be because they are so long.
      */
     private void logFailed(HttpAnswer answer, Throwable failure) {
-        Throwable cause = failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        Throwable cause = CallFailure.cause(failure);
         if (cause instanceof AnswerTooLong) {
             logLost("is too long");
         } else if (answer != null && answer.status() >= 400 && answer.status() < 500 && answer.status() != 429) {
--- a/src/main/java/org/dunespindle/bookkeeping/StateClient.java
+++ b/src/main/java/org/dunespindle/bookkeeping/StateClient.java
@@ -115,7 +115,7 @@
     }
 
     private static boolean sent(Throwable failure) {
-        Throwable cause = failure instanceof java.util.concurrent.CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        Throwable cause = CallFailure.cause(failure);
         return !(cause instanceof CallFailure f) || f.sent();
     }
 
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -39,7 +39,7 @@
     private static final Duration LOOK_EVERY = Duration.ofMillis(100);
     private static final Duration PLAN_AT_MOST_EVERY = Duration.ofMillis(150);
     private static final Duration PLAN_AT_LEAST_EVERY = Duration.ofSeconds(1);
-    private static final Duration WORD_EVERY = Duration.ofMillis(1000);
+    private static final Duration HEARTBEAT_EVERY = Duration.ofMillis(1000);
     private static final Duration SYNC_EVERY = Duration.ofMillis(300);
     private static final Duration CATALOG_EVERY = Duration.ofSeconds(60);
     private static final Duration CATALOG_PATIENCE = Duration.ofSeconds(10);
@@ -62,12 +62,13 @@
     private final Membership membership;
     private final Committer committer;
     private final Sessions sessions = new Sessions();
-    private final Vigil vigil;
-    private final Stops stops = new Stops();
+    private final StallDetector stalls;
+    private final Preemptions preemptions = new Preemptions();
     private final Cancellations cancellations;
     private final Faults faults;
     private final MachineEdits edits;
     private final HostDesk hostDesk;
+    private final ReportDesk reportDesk;
     private final Peers peers;
     private final CloudClient cloud;
     private final Fleet fleet;
@@ -108,7 +109,7 @@
     public Controller(Settings settings, Caller http, Timeline timeline) {
         this.settings = settings;
         this.timeline = timeline;
-        this.vigil = new Vigil(timeline);
+        this.stalls = new StallDetector(timeline);
         this.decisions = new Decisions(timeline);
         this.options = Options.defaults(settings.workers().lease());
         this.targets = new Targets(settings.objectives());
@@ -119,19 +120,20 @@
         this.edits = new MachineEdits(replica, committer, timeline);
         this.faults = new Faults(replica::job);
         this.cancellations = new Cancellations(settings, replica, timeline);
-        this.hostDesk = new HostDesk(settings, replica, membership, edits, http, timeline, sessions, decisions, stops, cancellations, vigil, this::cutOff, this::fellQuiet, this::wake);
+        this.hostDesk = new HostDesk(settings, replica, membership, edits, http, timeline, sessions, decisions, preemptions, cancellations, stalls, this::wake);
+        this.reportDesk = new ReportDesk(settings, replica, membership, edits, hostDesk, timeline, sessions, decisions, cancellations, this::cutOff, this::fellQuiet, this::wake);
         this.peers = new Peers(settings, http, timeline, membership::incarnation, membership::leader, (host, image) -> sessions.of(host).fetched(image), replica,
                 (node, asked, cancelled) -> hostDesk.cancelledElsewhere(cancellations.answered(node, asked, cancelled)));
         this.writeShare = new WriteShare(settings, peers, membership, committer, state, timeline);
         this.cloud = new CloudClient(http, settings, timeline);
-        this.fleet = new Fleet(settings, replica, membership, edits, hostDesk, cloud, timeline, sessions, peers, decisions, targets, vigil, faults, this::options, () -> catalog);
+        this.fleet = new Fleet(settings, replica, membership, edits, hostDesk, cloud, timeline, sessions, peers, decisions, targets, stalls, faults, this::options, () -> catalog);
         this.ownership = new Ownership(settings, replica, membership, hostDesk, edits, peers, sessions, timeline, this::options);
         this.outcomes = new Outcomes(settings, replica, membership, committer, hostDesk, sessions, timeline, decisions, faults);
-        this.placements = new Placements(settings, replica, membership, committer, edits, outcomes, stops, hostDesk, timeline, decisions, this::takesTasks);
+        this.placements = new Placements(settings, replica, membership, committer, edits, outcomes, preemptions, hostDesk, timeline, decisions, this::takesTasks);
         this.gangs = new Gangs(settings, replica, committer, hostDesk, sessions, timeline, decisions, this::options);
         this.admin = new Admin(settings, replica, membership, committer, edits, decisions, this, new TreeMap<>(Map.of("decisionRound", rounds, "plan", plans, "stateCall", state.latency(),
                 "cloudCall", cloud.latency(), "holdPlacement", gangs.holdPlacement(), "replacement", gangs.replacement(), "accept", accepts)));
-        this.hearing = new Hearing(settings, replica, membership, hostDesk, peers, sessions, timeline, vigil, decisions);
+        this.hearing = new Hearing(settings, replica, membership, hostDesk, peers, sessions, timeline, stalls, decisions);
         this.headroom = new Headroom(settings.objectives());
         this.frontDesk = new FrontDesk(settings, replica, state, committer, timeline, () -> catalog, accepts);
     }
@@ -171,15 +173,15 @@
         return frontDesk;
     }
 
-    public HostDesk hostDesk() {
-        return hostDesk;
+    public ReportDesk reportDesk() {
+        return reportDesk;
     }
 
     public void start() {
         replica.start();
         fetchCatalog();
-        heartbeat();
-        word();
+        tick();
+        sendHeartbeat();
     }
 
     /** Whether users' requests can be served here. In an outage that all share, staying in is better than all leaving. */
@@ -197,8 +199,8 @@
         if (replica.age().compareTo(CUT_OFF_VIEW) < 0) {
             return false;
         }
-        List<Peers.Word> words = peers.fresh();
-        return words.isEmpty() ? !settings.seeds().isEmpty() : words.stream().anyMatch(w -> w.viewAge().compareTo(PLACING_VIEW) < 0);
+        List<Peers.Heartbeat> heartbeats = peers.fresh();
+        return heartbeats.isEmpty() ? !settings.seeds().isEmpty() : heartbeats.stream().anyMatch(w -> w.viewAge().compareTo(PLACING_VIEW) < 0);
     }
 
     private boolean fellQuiet(String owner) {
@@ -218,14 +220,14 @@
         });
     }
 
-    private void heartbeat() {
-        vigil.beat();
+    private void tick() {
+        stalls.beat();
         hearing.tick();
         wake();
-        timeline.after(ROUND_AT_LEAST_EVERY, this::heartbeat);
+        timeline.after(ROUND_AT_LEAST_EVERY, this::tick);
     }
 
-    private void word() {
+    private void sendHeartbeat() {
         if (replica.loaded()) {
             writeShare.adjust();
             peers.tell(replica.age(), writeShare.need(), peers.leaderListens() ? news() : List.of());
@@ -234,12 +236,12 @@
             faults.prune(replica.hosts()::containsKey);
             sessions.forget(replica.hosts().keySet(), timeline.now());
         }
-        timeline.after(WORD_EVERY, this::word);
+        timeline.after(HEARTBEAT_EVERY, this::sendHeartbeat);
     }
 
-    /** Takes in another controller's word and answers it. */
-    public ObjectNode heard(byte[] word) {
-        return peers.hear(word, replica.age(), writeShare.need());
+    /** Takes in another controller's heartbeat and answers it. */
+    public ObjectNode heard(byte[] heartbeat) {
+        return peers.hear(heartbeat, replica.age(), writeShare.need());
     }
 
     /** The machines commanded here, numbered anew where something changed since it was last told. */
@@ -253,7 +255,7 @@
             }
             boolean up = takesTasks(h);
             boolean bad = fleet.bad(h.id());
-            Duration silent = up ? Duration.ZERO : vigil.silence(s.get().unprovenSince.filter(u -> u.compareTo(s.get().heardAt.get()) < 0).orElse(s.get().heardAt.get()));
+            Duration silent = up ? Duration.ZERO : stalls.silence(s.get().unprovenSince.filter(u -> u.compareTo(s.get().heardAt.get()) < 0).orElse(s.get().heardAt.get()));
             String told = h.token() + (up ? "u" : "d" + silent.toSeconds() / 3) + bad + s.get().images().hashCode();
             if (!told.equals(s.get().told)) {
                 s.get().told = told;
@@ -286,7 +288,7 @@
             roundSet = false;
             Duration begun = timeline.now();
             lastRound = begun;
-            vigil.beat();
+            stalls.beat();
             try {
                 round();
             } catch (RuntimeException e) {
@@ -299,7 +301,7 @@
     }
 
     private void round() {
-        // In every round, not only on the heartbeat: after a crash of all controllers the workers' leases are about to end.
+        // In every round, not only on the timer: after a crash of all controllers the workers' leases are about to end.
         membership.tick();
         if (!membership.leads()) {
             fleet.standDown(); // also when it leads again by the next plan: it did not watch meanwhile
@@ -408,7 +410,7 @@
      * its machines until then; nothing is placed on one before it has been borrowed and has reported here.
      */
     private Optional<Peers.Machine> told(HostRecord h, Map<String, Boolean> trusted) {
-        boolean trust = trusted.computeIfAbsent(h.owner(), o -> peers.word(o).isPresent()) || membership.isAlive(h.owner(), h.incarnation());
+        boolean trust = trusted.computeIfAbsent(h.owner(), o -> peers.heartbeat(o).isPresent()) || membership.isAlive(h.owner(), h.incarnation());
         return trust ? peers.lastTold(h) : Optional.empty();
     }
 
@@ -472,7 +474,7 @@
             }
         }
         LOG.debug("accelerators by class and phase: {}", byPhase);
-        LOG.debug("load: {} reports, {} calls, {} writes ({} wait, {} in vain), rounds {} (p90 {} ms), plans {} (p50 {} ms, p90 {} ms), state calls {} (p90 {} ms), own {} of {} machines, may write {}/s, {}", hostDesk.reports(),
+        LOG.debug("load: {} reports, {} calls, {} writes ({} wait, {} in vain), rounds {} (p90 {} ms), plans {} (p50 {} ms, p90 {} ms), state calls {} (p90 {} ms), own {} of {} machines, may write {}/s, {}", reportDesk.reports(),
                 hostDesk.calls(), committer.written(), committer.waiting(), committer.wasted(), rounds.getTotalCount(), rounds.getValueAtPercentile(90) / 1000, plans.getTotalCount(),
                 plans.getValueAtPercentile(50) / 1000, plans.getValueAtPercentile(90) / 1000, state.latency().getTotalCount(), state.latency().getValueAtPercentile(90) / 1000,
                 replica.hosts().values().stream().filter(membership::owns).count(), replica.hosts().size(),
--- a/src/main/java/org/dunespindle/coordination/Silence.java
+++ b/src/main/java/org/dunespindle/coordination/FailureDetector.java
@@ -13,10 +13,10 @@
 import org.dunespindle.protocol.Settings;
 
 /**
- * Whether a machine that nobody hears may be given up. Silence has many causes that are not the machine's: its zone is cut off, its
+ * Whether a machine that nobody hears may be given up. FailureDetector has many causes that are not the machine's: its zone is cut off, its
  * controller has lost its workers or cannot talk to the leader, it changed hands a moment ago, or this process did not listen.
  */
-final class Silence {
+final class FailureDetector {
     private static final int FEWEST_FOR_CUT = 4;
     private static final int MOST_SPARED = 3;
     private static final Duration ASKED_LATELY = Duration.ofSeconds(12);
@@ -29,7 +29,7 @@
     private final Peers peers;
     private final Sessions sessions;
     private final Timeline timeline;
-    private final Vigil vigil;
+    private final StallDetector stalls;
     /** Zones and owners most of whose machines are silent, and when that was last so: when a cut ends, some are heard later than others. */
     private final Map<String, Duration> cutOff = new HashMap<>();
     /** Where the cloud's list says that a machine is; records of rented machines do not tell until they report. */
@@ -45,7 +45,7 @@
 
     private record Command(long token, Duration since) {}
 
-    Silence(Settings settings, Replica replica, Membership membership, HostDesk hostDesk, Peers peers, Sessions sessions, Timeline timeline, Vigil vigil,
+    FailureDetector(Settings settings, Replica replica, Membership membership, HostDesk hostDesk, Peers peers, Sessions sessions, Timeline timeline, StallDetector stalls,
             Function<String, Optional<String>> listedAddress) {
         this.settings = settings;
         this.replica = replica;
@@ -54,7 +54,7 @@
         this.peers = peers;
         this.sessions = sessions;
         this.timeline = timeline;
-        this.vigil = vigil;
+        this.stalls = stalls;
         this.listedAddress = listedAddress;
     }
 
@@ -96,7 +96,7 @@
             if (h.leaving() || heard.isEmpty() && !longUp.test(h)) {
                 continue;
             }
-            boolean isSilent = vigil.silence(heard.orElse(leadingSince)).compareTo(limit) > 0;
+            boolean isSilent = stalls.silence(heard.orElse(leadingSince)).compareTo(limit) > 0;
             for (String group : List.of(h.zone(), ownerKey(h))) {
                 all.merge(group, 1, Integer::sum);
                 silent.merge(group, isSilent ? 1 : 0, Integer::sum);
@@ -119,7 +119,7 @@
     Duration of(HostRecord h, Duration leadingSince) {
         Duration now = timeline.now();
         Duration commanded = commands.compute(h.id(), (id, c) -> c != null && c.token == h.token() ? c : new Command(h.token(), now)).since;
-        return vigil.silence(later(heard(h).orElse(leadingSince), later(commanded, leadingSince)));
+        return stalls.silence(later(heard(h).orElse(leadingSince), later(commanded, leadingSince)));
     }
 
     private static Duration later(Duration a, Duration b) {
@@ -129,7 +129,7 @@
     /** Whether a machine silent for so long is given up. */
     boolean proven(HostRecord h, Duration silent, Duration most) {
         Duration now = timeline.now();
-        boolean ownerTalks = membership.owns(h) || peers.word(h.owner()).isPresent();
+        boolean ownerTalks = membership.owns(h) || peers.heartbeat(h.owner()).isPresent();
         Duration limit = most.plus(ownerTalks ? Duration.ZERO : OWNER_MUTE);
         spared.computeIfPresent(h.id(), (id, s) -> silent.compareTo(limit.dividedBy(2)) < 0 && now.minus(s.at).compareTo(limit) > 0 ? null : s);
         return silent.compareTo(limit) > 0 && !spares(h, silent) && !answersWhenAsked(h);
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -59,8 +59,8 @@
     private final Peers peers;
     private final Decisions decisions;
     private final Targets targets;
-    private final Vigil vigil;
-    private final Silence silence;
+    private final StallDetector stalls;
+    private final FailureDetector failures;
     private final Faults faults;
     private final Supplier<Options> options;
     private final Supplier<Optional<List<MachineType>>> catalog;
@@ -87,7 +87,7 @@
     private record Refusal(Duration until, Duration pause) {}
 
     public Fleet(Settings settings, Replica replica, Membership membership, MachineEdits edits, HostDesk hostDesk, CloudClient cloud, Timeline timeline, Sessions sessions,
-            Peers peers, Decisions decisions, Targets targets, Vigil vigil, Faults faults, Supplier<Options> options, Supplier<Optional<List<MachineType>>> catalog) {
+            Peers peers, Decisions decisions, Targets targets, StallDetector stalls, Faults faults, Supplier<Options> options, Supplier<Optional<List<MachineType>>> catalog) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
@@ -99,9 +99,9 @@
         this.sessions = sessions;
         this.peers = peers;
         this.decisions = decisions;
-        this.vigil = vigil;
+        this.stalls = stalls;
         this.faults = faults;
-        this.silence = new Silence(settings, replica, membership, hostDesk, peers, sessions, timeline, vigil, id -> Optional.ofNullable(listed.get(id)).map(ListedMachine::address).filter(a -> !a.isEmpty()));
+        this.failures = new FailureDetector(settings, replica, membership, hostDesk, peers, sessions, timeline, stalls, id -> Optional.ofNullable(listed.get(id)).map(ListedMachine::address).filter(a -> !a.isEmpty()));
         this.options = options;
         this.catalog = catalog;
     }
@@ -142,7 +142,7 @@
 
     /** When any controller last had a sign of life from a machine that could not be an old copy. */
     public Optional<Duration> heard(HostRecord host) {
-        return silence.heard(host);
+        return failures.heard(host);
     }
 
     /** Whether a machine may take its time: it was rented but nobody has heard it yet. */
@@ -183,7 +183,7 @@
             firstSeen.clear();
             quarantinedSince.clear();
             idleSince.clear();
-            silence.reset();
+            failures.reset();
             dropped.clear();
         }
     }
@@ -260,7 +260,7 @@
                     if (r instanceof TxnResult.Applied) {
                         firstSeen.remove(h.id());
                         quarantinedSince.remove(h.id());
-                        silence.forget(h.id());
+                        failures.forget(h.id());
                         dropped.remove(h.id());
                         idleSince.remove(h.id());
                     }
@@ -270,7 +270,7 @@
     }
 
     private void judge(Duration now, Planner.Plan plan) {
-        silence.look(leadingSince.orElse(now), h -> age(h).compareTo(bootTime(h).multipliedBy(LATE_BOOT_TENTHS).dividedBy(10)) > 0);
+        failures.look(leadingSince.orElse(now), h -> age(h).compareTo(bootTime(h).multipliedBy(LATE_BOOT_TENTHS).dividedBy(10)) > 0);
         for (HostRecord h : List.copyOf(replica.hosts().values())) {
             if (h.leaving() || isGone(h.id()) || edits.busy(h.id()) || dropped.contains(h.id())) {
                 continue;
@@ -303,16 +303,16 @@
             return Optional.of(FAILS);
         }
         Duration silentLimit = options.get().silentBeforeReturn();
-        Duration leading = vigil.silence(leadingSince.orElse(now));
+        Duration leading = stalls.silence(leadingSince.orElse(now));
         if (heard(h).isEmpty()) {
             Duration seen = now.minus(firstSeen.computeIfAbsent(h.id(), k -> now));
-            boolean sure = leading.compareTo(silentLimit.plus(EARLY)) > 0 && !silence.spares(h, leading);
+            boolean sure = leading.compareTo(silentLimit.plus(EARLY)) > 0 && !failures.spares(h, leading);
             boolean runs = row != null && row.phase().equals("running") && seen.compareTo(silentLimit.plus(RUNS_UNHEARD)) > 0;
             boolean late = age(h).compareTo(bootTime(h).multipliedBy(options.get().bootPatience())) > 0;
-            return !sure || !runs && !late || silence.answersWhenAsked(h) ? Optional.empty() : Optional.of(runs ? "it runs but no controller hears it" : "it did not come up in time");
+            return !sure || !runs && !late || failures.answersWhenAsked(h) ? Optional.empty() : Optional.of(runs ? "it runs but no controller hears it" : "it did not come up in time");
         }
-        Duration silent = silence.of(h, leadingSince.orElse(now));
-        if (silence.proven(h, silent, silentLimit)) {
+        Duration silent = failures.of(h, leadingSince.orElse(now));
+        if (failures.proven(h, silent, silentLimit)) {
             return Optional.of("it has been silent for " + silent.toSeconds() + " s");
         }
         boolean reports = silent.compareTo(settings.workers().report().multipliedBy(2)) < 0;
--- a/src/main/java/org/dunespindle/coordination/Hearing.java
+++ b/src/main/java/org/dunespindle/coordination/Hearing.java
@@ -32,14 +32,14 @@
     private final Peers peers;
     private final Sessions sessions;
     private final Timeline timeline;
-    private final Vigil vigil;
+    private final StallDetector stalls;
     private final Decisions decisions;
     /** Reports come at this interval, give or take a quarter. */
     private final Duration overdue;
     private Optional<Duration> awaySince = Optional.empty();
     private Duration askAgainAt = Duration.ZERO;
 
-    Hearing(Settings settings, Replica replica, Membership membership, HostDesk hostDesk, Peers peers, Sessions sessions, Timeline timeline, Vigil vigil, Decisions decisions) {
+    Hearing(Settings settings, Replica replica, Membership membership, HostDesk hostDesk, Peers peers, Sessions sessions, Timeline timeline, StallDetector stalls, Decisions decisions) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
@@ -47,7 +47,7 @@
         this.peers = peers;
         this.sessions = sessions;
         this.timeline = timeline;
-        this.vigil = vigil;
+        this.stalls = stalls;
         this.decisions = decisions;
         this.overdue = settings.workers().report().multipliedBy(5).dividedBy(4).plus(LATENESS);
     }
@@ -60,7 +60,7 @@
         }
         if (awaySince.isPresent()) {
             comeBack(now);
-        } else if (membership.joined() && replica.age().compareTo(VIEW) < 0 && vigil.awake().compareTo(overdue) > 0 && othersServe()) {
+        } else if (membership.joined() && replica.age().compareTo(VIEW) < 0 && stalls.awake().compareTo(overdue) > 0 && othersServe()) {
             List<HostRecord> silent = silentOnes();
             if (!silent.isEmpty()) {
                 askAgainAt = now.plus(ASK_EVERY);
@@ -70,7 +70,7 @@
     }
 
     private boolean othersServe() {
-        return settings.seeds().stream().anyMatch(s -> membership.incarnationOf(s.name()).isPresent() && peers.word(s.name()).filter(w -> w.viewAge().compareTo(VIEW) < 0).isPresent());
+        return settings.seeds().stream().anyMatch(s -> membership.incarnationOf(s.name()).isPresent() && peers.heartbeat(s.name()).filter(w -> w.viewAge().compareTo(VIEW) < 0).isPresent());
     }
 
     /** The silent ones of the machines that have reported under this controller's command; none unless nearly all are. */
@@ -81,7 +81,7 @@
             Optional<Sessions.Session> s = membership.owns(h) && !h.leaving() ? sessions.known(h.id()) : Optional.empty();
             if (s.isPresent() && s.get().heardAt.isPresent() && s.get().report.filter(r -> r.token() == h.token()).isPresent()) {
                 all++;
-                if (vigil.silence(s.get().heardAt.get()).compareTo(overdue) > 0) {
+                if (stalls.silence(s.get().heardAt.get()).compareTo(overdue) > 0) {
                     silent.add(h);
                 }
             }
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -1,6 +1,5 @@
 package org.dunespindle.coordination;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -9,11 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
-import java.util.function.BiConsumer;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.dunespindle.bookkeeping.HostRecord;
 import org.dunespindle.bookkeeping.Keys;
 import org.dunespindle.bookkeeping.Replica;
@@ -33,7 +28,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Dealings with workers: reports, direct commands, and who commands which machine. A machine is attended to
+ * Dealings with machines: direct commands, what became of their tasks, and who commands which. A machine is attended to
  * when something about it changed, never just because time passed: there are many, and most are as they were.
  */
 public final class HostDesk {
@@ -42,16 +37,10 @@
     private static final Duration INSPECT_TIMEOUT = Duration.ofMillis(1500);
     private static final Duration CALL_PAUSE = Duration.ofMillis(1000);
     private static final Duration SILENT_PAUSE = Duration.ofSeconds(6);
-    private static final Duration REFUSED_PAUSE = Duration.ofMillis(200);
-    private static final Duration KEEP = Duration.ofSeconds(40);
-    private static final Duration STRAY_GAP = Duration.ofMillis(700);
-    private static final Duration STRAY_MEMORY = Duration.ofSeconds(12);
-    private static final Duration START_VIEW = Duration.ofSeconds(3);
+    static final Duration REFUSED_PAUSE = Duration.ofMillis(200);
+    static final Duration START_VIEW = Duration.ofSeconds(3);
     private static final Duration ONE_WAY_AFTER = Duration.ofSeconds(5);
-    private static final Duration TURNED_AWAY_MEMORY = Duration.ofSeconds(40);
-    private static final Duration TURNED_AWAY_GAP = Duration.ofMillis(1500);
-    private static final int STRAYS_UNSEEN = 4;
-    private static final int ORDERS_AT_ONCE = 200;
+    static final int ORDERS_AT_ONCE = 200;
     private static final int MOST_KEPT_EXITS = 6;
     /** Calls to machines may take this part of the sockets, those to silent ones half of it: in a cut they hang by the hundred. */
     private static final int CALLS_PART = 8;
@@ -64,19 +53,14 @@
     private final Timeline timeline;
     private final Sessions sessions;
     private final Decisions decisions;
-    private final Stops stops;
+    private final Preemptions preemptions;
     private final Cancellations cancellations;
-    private final Vigil vigil;
-    private final BooleanSupplier cutOff;
-    private final Predicate<String> fellQuiet;
+    private final StallDetector stalls;
     private final Runnable changed;
-    /** With older knowledge of cancellations no lease is renewed: one told elsewhere may be unknown here, and must end its tasks in time. */
-    private final Duration viewLimit;
     private Set<String> due = new LinkedHashSet<>();
     private final Set<String> noticed = new LinkedHashSet<>();
     private final Set<String> withEvents = new LinkedHashSet<>();
     private long version;
-    private long reports;
     private long calls;
     private final int mostCalls;
     private int underWay;
@@ -85,7 +69,7 @@
     private final LinkedHashSet<String> inLine = new LinkedHashSet<>();
 
     public HostDesk(Settings settings, Replica replica, Membership membership, MachineEdits edits, Caller http, Timeline timeline, Sessions sessions, Decisions decisions,
-            Stops stops, Cancellations cancellations, Vigil vigil, BooleanSupplier cutOff, Predicate<String> fellQuiet, Runnable changed) {
+            Preemptions preemptions, Cancellations cancellations, StallDetector stalls, Runnable changed) {
         this.settings = settings;
         this.replica = replica;
         this.membership = membership;
@@ -94,15 +78,11 @@
         this.timeline = timeline;
         this.sessions = sessions;
         this.decisions = decisions;
-        this.stops = stops;
+        this.preemptions = preemptions;
         this.cancellations = cancellations;
-        this.vigil = vigil;
-        this.cutOff = cutOff;
-        this.fellQuiet = fellQuiet;
+        this.stalls = stalls;
         this.changed = changed;
         this.mostCalls = Math.max(LEAST_CALLS, settings.sockets() / CALLS_PART);
-        Duration spare = settings.workers().cancel().minus(settings.workers().lease()).minus(Duration.ofSeconds(4));
-        this.viewLimit = spare.compareTo(Duration.ofSeconds(2)) < 0 ? Duration.ofSeconds(2) : spare;
     }
 
     /** Grows whenever what machines here can take, or what became of their tasks, may have changed. */
@@ -110,10 +90,6 @@
         return version;
     }
 
-    public long reports() {
-        return reports;
-    }
-
     public long calls() {
         return calls;
     }
@@ -129,63 +105,21 @@
         return noticed;
     }
 
+    /** A machine is about to be taken away. */
+    void notice(String host) {
+        noticed.add(host);
+    }
+
     /** Asks for a machine to be looked at in the next pass. */
     public void attend(String host) {
         due.add(host);
     }
 
-    /** Answers a report: status and body. */
-    public void report(WorkerReport r, BiConsumer<Integer, ObjectNode> answer) {
-        reports++;
-        Sessions.Session session = sessions.of(r.host());
-        Optional<WorkerReport> before = session.report;
-        Duration now = timeline.now();
-        boolean wasSilent = session.heardAt.filter(t -> vigil.silence(t).compareTo(settings.workers().report().multipliedBy(2).plusSeconds(2)) < 0).isEmpty();
-        boolean newer = session.reported(r, now);
-        if (r.notice().isPresent()) {
-            noticed.add(r.host());
-        }
-        if (newer) {
-            attendIfNews(r, before);
-        }
-        if (newer && wasSilent && session.unprovenSince.isPresent()) {
-            // After a cut, or when it has just found its way here: that no command arrived before does not show that none does now.
-            session.unprovenSince = Optional.of(now);
-            session.callAgainAt = now;
-            due.add(r.host());
-            changed.run();
-        }
-        HostRecord record = replica.hosts().get(r.host());
-        if (replica.loaded() && keepsAlive(r, record, answer)) {
-            return;
-        }
-        if (!replica.loaded() || membership.incarnation() == 0 || !mayRenew()) {
-            answer.accept(503, error("this controller does not know the present state"));
-            return;
-        }
-        if (newer && session.unprovenSince.isPresent() && session.callAgainAt.compareTo(timeline.now()) > 0) {
-            session.callAgainAt = timeline.now().plus(REFUSED_PAUSE);
-            due.add(r.host());
-        }
-        if (cutOff.getAsBoolean()) {
-            answerCutOff(r, record, session, answer);
-        } else if (record == null) {
-            unknown(r, session, newer, answer);
-        } else if (membership.owns(record)) {
-            answerOwned(r, record, session, newer, answer);
-            if (newer && r.token() == record.token()) {
-                session.heardAt = Optional.of(timeline.now());
-            }
-        } else {
-            stray(r, record, session, newer, answer);
-        }
-    }
-
     /**
      * Has a machine looked at when a worker says something new, however it said it and whatever it is answered: the next report may
      * say the same again, and would be no news. Without this, what was told in an outage or in answer to a question was never acted on.
      */
-    private void attendIfNews(WorkerReport r, Optional<WorkerReport> before) {
+    void attendIfNews(WorkerReport r, Optional<WorkerReport> before) {
         if (before.filter(b -> b.sameAs(r)).isEmpty()) {
             version++;
             due.add(r.host());
@@ -193,18 +127,8 @@
         }
     }
 
-    /** Whether a worker may be answered with 200, as far as cancellations go. */
-    private boolean mayRenew() {
-        return cancellations.age().compareTo(viewLimit) <= 0;
-    }
-
-    /** A worker that has seen a higher token than is stored drops what is answered under the stored one, and waits until its lease is over. */
-    private static boolean accepts(WorkerReport r, HostRecord record) {
-        return r.token() <= record.token();
-    }
-
     /** Tasks that it reports of jobs known to be cancelled: to stop them is right under any token and whatever else is under way. */
-    private List<Order> cancelledOn(WorkerReport r) {
+    List<Order> cancelledOn(WorkerReport r) {
         var halts = new ArrayList<Order>();
         r.tasks().forEach(t -> {
             if (!t.exited() && replica.job(t.task().job()).filter(cancellations::cancelled).isPresent()) {
@@ -214,11 +138,6 @@
         return halts;
     }
 
-    /** Renews a worker's lease and ends what is cancelled, nothing else. */
-    private void renew(WorkerReport r, HostRecord record, BiConsumer<Integer, ObjectNode> answer) {
-        answer.accept(200, Order.reply(record.token(), cancelledOn(r).stream().limit(ORDERS_AT_ONCE).toList()));
-    }
-
     /** Looks at the machines of jobs that others say are cancelled. */
     void cancelledElsewhere(List<String> jobs) {
         jobs.forEach(id -> replica.job(id).ifPresent(j -> j.claims().forEach(c -> due.add(c.host()))));
@@ -227,105 +146,8 @@
         }
     }
 
-    /**
-     * A worker whose controller is gone is answered under the stored token until somebody takes its machine over: after a crash of
-     * all, taking over takes longer than is left of its lease. Without orders, an equal token does nothing but renew.
-     */
-    private boolean keepsAlive(WorkerReport r, HostRecord record, BiConsumer<Integer, ObjectNode> answer) {
-        boolean orphan = record != null && !membership.isAlive(record.owner(), record.incarnation()) && replica.age().compareTo(START_VIEW) < 0 && accepts(r, record);
-        if (orphan) {
-            renew(r, record, answer);
-        }
-        return orphan;
-    }
-
-    private static ObjectNode error(String text) {
-        return Pack.map().put("error", text);
-    }
-
-    private void answerOwned(WorkerReport r, HostRecord record, Sessions.Session session, boolean newer, BiConsumer<Integer, ObjectNode> answer) {
-        if (!accepts(r, record)) {
-            answer.accept(503, error("its token is being raised"));
-            return;
-        }
-        // Halts ride along for a worker that reaches this controller but cannot be reached, and forgetting has time; starts never ride.
-        boolean proof = newer && r.token() == record.token() && session.unansweredUnder.isEmpty() && !session.calling && replica.syncedTo() >= replica.stamp(Keys.host(r.host()));
-        if (!proof) {
-            renew(r, record, answer);
-            return;
-        }
-        List<Order> orders = keepExits(record, session, Reconciler.judge(claims(r.host()), r).orders()).stream()
-                .filter(o -> !(o instanceof Order.Run)).limit(ORDERS_AT_ONCE).toList();
-        answer.accept(200, Order.reply(record.token(), orders));
-    }
-
-    /**
-     * This controller reaches neither the state service nor a controller that does, yet workers reach it. Whoever can
-     * act takes its machines over, so its workers are sent to find that one. One that comes back was turned
-     * away everywhere: it is better kept alive than left to die, as long as no cancellation can have been missed.
-     */
-    private void answerCutOff(WorkerReport r, HostRecord record, Sessions.Session session, BiConsumer<Integer, ObjectNode> answer) {
-        Duration now = timeline.now();
-        boolean ours = record != null && membership.owns(record) && accepts(r, record);
-        Optional<Duration> away = session.turnedAwayAt.map(now::minus).filter(d -> d.compareTo(TURNED_AWAY_MEMORY) < 0);
-        boolean cameBack = away.filter(d -> d.compareTo(TURNED_AWAY_GAP) > 0).isPresent();
-        if (ours && (cameBack || !hearsOtherZones())) {
-            renew(r, record, answer);
-            return;
-        }
-        if (away.isEmpty()) {
-            session.turnedAwayAt = Optional.of(now);
-        }
-        answer.accept(503, error("this controller is cut off from the state service and the others"));
-    }
-
-    /** In a cut between zones only the own zone's workers are heard, and nobody else can answer them. */
-    private boolean hearsOtherZones() {
-        Duration recent = settings.workers().report().multipliedBy(2).plusSeconds(1);
-        for (Sessions.Session s : sessions.all().values()) {
-            if (s.heardAt.isPresent() && timeline.now().minus(s.heardAt.get()).compareTo(recent) < 0 && s.report.filter(x -> !x.zone().equals(settings.zone())).isPresent()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** A machine that no record names. Its report may be a late copy and the machine long gone, so it is asked itself first. */
-    private void unknown(WorkerReport r, Sessions.Session session, boolean newer, BiConsumer<Integer, ObjectNode> answer) {
-        Optional<String> steward = membership.hashed(r.host());
-        if (!membership.joined() || steward.isEmpty()) {
-            answer.accept(503, error("not a member yet"));
-        } else if (!steward.get().equals(settings.nodeName())) {
-            answer.accept(421, Pack.map().put("steward", steward.get()));
-        } else if (!newer || session.verifying || edits.busy(r.host())) {
-            answer.accept(503, error("machine is being taken up"));
-        } else {
-            verify(r, session, alive -> {
-                if (!alive || replica.hosts().containsKey(r.host())) {
-                    answer.accept(503, error("machine could not be taken up"));
-                    return;
-                }
-                var record = new HostRecord(r.host(), r.address(), r.type(), r.zone(), r.spot(), settings.nodeName(), membership.incarnation(),
-                        session.report.map(WorkerReport::token).orElse(r.token()) + 1, timeline.wallTime(), Instant.EPOCH, false, "");
-                decisions.tell(LOG, "machine {} reported without having been rented by us; taken up", r.host());
-                edits.change(Committer.Lane.PLACING, record, answerAfter(r, answer));
-            });
-        }
-    }
-
-    private Consumer<TxnResult> answerAfter(WorkerReport r, BiConsumer<Integer, ObjectNode> answer) {
-        return result -> {
-            HostRecord now = replica.hosts().get(r.host());
-            if (result instanceof TxnResult.Applied && now != null && membership.owns(now)) {
-                answer.accept(200, Order.reply(now.token(), List.of()));
-            } else {
-                answer.accept(503, error("machine could not be taken up"));
-            }
-        };
-    }
-
     /** Asks a worker itself: only an answer shows that it is there, and that commands from here reach it. */
-    private void verify(WorkerReport r, Sessions.Session session, Consumer<Boolean> then) {
+    void verify(WorkerReport r, Sessions.Session session, Consumer<Boolean> then) {
         verify(r.host(), r.address(), session, then);
     }
 
@@ -354,53 +176,6 @@
         return true;
     }
 
-    /**
-     * A worker that reports here though another controller owns its machine is sent there. When it comes
-     * back soon, it could not reach the owner (a cut zone, a crash): then the machine changes hands. Late copies of
-     * reports count for nothing, and the worker itself is asked before its tasks' token is raised.
-     */
-    private void stray(WorkerReport r, HostRecord record, Sessions.Session session, boolean newer, BiConsumer<Integer, ObjectNode> answer) {
-        Duration now = timeline.now();
-        Runnable sendOn = () -> answer.accept(421, Pack.map().put("steward", membership.isAlive(record.owner(), record.incarnation()) ? record.owner() : membership.hashed(r.host()).orElse(record.owner())));
-        if (!newer) {
-            sendOn.run();
-            return;
-        }
-        long stamp = replica.stamp(Keys.host(r.host()));
-        Duration since = now.minus(session.strayAt);
-        if (session.strayStamp != stamp || since.compareTo(STRAY_MEMORY) > 0) {
-            session.strays = 1;
-            session.strayStamp = stamp;
-            session.strayAt = now;
-        } else if (since.compareTo(STRAY_GAP) > 0) {
-            session.strays++;
-            session.strayAt = now;
-        }
-        if (replica.age().compareTo(START_VIEW) >= 0 && session.strays >= 2 && accepts(r, record)) {
-            // In an outage that all share nobody can take it over from a controller that has ended; until then it is kept alive.
-            renew(r, record, answer);
-            return;
-        }
-        // A controller that has just ended takes all its workers here: its pages are soon taken as a whole, not machine by machine.
-        if (!membership.joined() || session.verifying || edits.busy(r.host()) || fellQuiet.test(record.owner())) {
-            sendOn.run();
-        } else if (session.strays >= 2) {
-            verify(r, session, alive -> {
-                HostRecord present = replica.hosts().get(r.host());
-                // A worker that reaches only this controller, and that nobody reaches, is taken over once it has insisted.
-                boolean insists = session.strays >= STRAYS_UNSEEN && r.token() == record.token();
-                if (present != null && !membership.owns(present) && (alive || insists)) {
-                    decisions.tell(LOG, "machine {} cannot reach its controller {}; taken over", r.host(), present.owner());
-                    take(present, timeline.wallTime().plus(KEEP), answerAfter(r, answer));
-                } else {
-                    sendOn.run();
-                }
-            });
-        } else {
-            sendOn.run();
-        }
-    }
-
     /** Becomes a machine's owner by raising its token. */
     public void take(HostRecord record, Instant keep, Consumer<TxnResult> then) {
         take(record, address(record), keep, then);
@@ -432,7 +207,7 @@
 
     /** How long a machine has reported without taking commands; empty while it takes them. */
     public Optional<Duration> oneWayFor(String host) {
-        return sessions.known(host).flatMap(s -> s.unprovenSince).map(vigil::silence);
+        return sessions.known(host).flatMap(s -> s.unprovenSince).map(stalls::silence);
     }
 
     /** One pass over the machines about which something changed: sends orders, notes what became of claims. */
@@ -477,13 +252,13 @@
     }
 
     /** A machine's claims, with those marked that are to end though their record does not say so. */
-    private List<Replica.Placed> claims(String host) {
-        return stops.marked(host, cancellations.marked(replica.claimsOn(host)));
+    List<Replica.Placed> claims(String host) {
+        return preemptions.marked(host, cancellations.marked(replica.claimsOn(host)));
     }
 
     /** Whether a machine's reports no longer arrive, though it may answer when it is asked: then its lease is running out. */
     boolean mute(Sessions.Session s) {
-        return s.heardAt.filter(t -> vigil.silence(t).compareTo(settings.workers().report().multipliedBy(2).plusSeconds(2)) < 0).isEmpty();
+        return s.heardAt.filter(t -> stalls.silence(t).compareTo(settings.workers().report().multipliedBy(2).plusSeconds(2)) < 0).isEmpty();
     }
 
     private void conclude(HostRecord record, Sessions.Session s) {
@@ -552,7 +327,7 @@
      * A worker that has forgotten an attempt would start it again on a late copy of the command. So one that ended without
      * being done is kept in its reports until a higher token has voided all copies; when several are, the token is raised.
      */
-    private List<Order> keepExits(HostRecord record, Sessions.Session s, List<Order> orders) {
+    List<Order> keepExits(HostRecord record, Sessions.Session s, List<Order> orders) {
         if (s.starts.isEmpty() || s.startsToken != record.token() || orders.isEmpty()) {
             return orders;
         }
@@ -602,7 +377,7 @@
             return; // a timer brings it back
         }
         // A silent machine is asked seldom: in a cut there are hundreds, and each attempt holds a socket. Its next report ends the pause.
-        boolean silent = s.aliveAt().filter(t -> vigil.silence(t).compareTo(settings.workers().report().multipliedBy(2)) < 0).isEmpty();
+        boolean silent = s.aliveAt().filter(t -> stalls.silence(t).compareTo(settings.workers().report().multipliedBy(2)) < 0).isEmpty();
         if (underWay >= mostCalls || silent && underWayToSilent >= mostCalls / 2) {
             inLine.add(record.id());
             return;
@@ -633,7 +408,7 @@
                 if (s.report.isPresent()) {
                     s.unanswered(timeline.now()); // one that never reported may still be booting
                 }
-                boolean sent = e == null || !(unwrap(e) instanceof CallFailure f) || f.sent();
+                boolean sent = e == null || !(CallFailure.cause(e) instanceof CallFailure f) || f.sent();
                 if (starts && sent && (a == null || a.status() >= 500)) {
                     unanswered(record, s, token);
                 }
@@ -669,10 +444,6 @@
         }
     }
 
-    private static Throwable unwrap(Throwable e) {
-        return e instanceof CompletionException && e.getCause() != null ? e.getCause() : e;
-    }
-
     private boolean answered(String host, Sessions.Session s, byte[] body) {
         try {
             WorkerReport r = WorkerReport.parse(Pack.read(body));
--- a/src/main/java/org/dunespindle/coordination/Ownership.java
+++ b/src/main/java/org/dunespindle/coordination/Ownership.java
@@ -155,7 +155,7 @@
         Optional<Long> inc = membership.incarnationOf(home.get());
         // A few pages at a time: after a controller came back there are many, and even load is less urgent than all else that is written.
         boolean turn = handedOn.contains(Keys.host(h.id())) || handedOn.size() < MOST_PAGES_HANDED_ON;
-        if (calm && turn && inc.isPresent() && peers.word(home.get()).isPresent()) {
+        if (calm && turn && inc.isPresent() && peers.heartbeat(home.get()).isPresent()) {
             handedOn.add(Keys.host(h.id()));
             edits.change(Committer.Lane.KEEPING, h.ownedBy(home.get(), inc.get(), Instant.EPOCH), r -> { });
         }
--- a/src/main/java/org/dunespindle/coordination/Peers.java
+++ b/src/main/java/org/dunespindle/coordination/Peers.java
@@ -46,7 +46,7 @@
     private final Replica replica;
     /** Told of a controller, when it was asked, and which cancelled jobs it knows that the copy here may lack. */
     private final CancelledListener cancelledHeard;
-    private final Map<String, Word> words = new HashMap<>();
+    private final Map<String, Heartbeat> heartbeats = new HashMap<>();
     private final Map<String, Heard> heard = new HashMap<>();
     /** Up to which number each controller has taken our news. */
     private final Map<String, Long> taken = new HashMap<>();
@@ -56,8 +56,8 @@
         void heard(String node, Duration asked, List<String> cancelled);
     }
 
-    /** The last word of a controller. */
-    public record Word(Duration at, long incarnation, Duration viewAge, double writes, int waiting) {}
+    /** The last heartbeat of a controller. */
+    public record Heartbeat(Duration at, long incarnation, Duration viewAge, double writes, int waiting) {}
 
     /** A machine as its owner last told. */
     public record Machine(boolean up, boolean bad, Duration silentFor, Duration toldAt, String address, long token) {}
@@ -86,9 +86,9 @@
         this.imageSeen = imageSeen;
     }
 
-    /** A controller's last word while it is fresh. */
-    public Optional<Word> word(String node) {
-        return Optional.ofNullable(words.get(node)).filter(w -> timeline.now().minus(w.at).compareTo(FRESH) < 0);
+    /** A controller's last heartbeat while it is fresh. */
+    public Optional<Heartbeat> heartbeat(String node) {
+        return Optional.ofNullable(heartbeats.get(node)).filter(w -> timeline.now().minus(w.at).compareTo(FRESH) < 0);
     }
 
     /**
@@ -96,21 +96,21 @@
      * that has been quiet for longer than that lives.
      */
     public boolean fellQuiet(String node) {
-        Word w = words.get(node);
+        Heartbeat w = heartbeats.get(node);
         Duration quiet = w == null ? Duration.ZERO : timeline.now().minus(w.at);
         return quiet.compareTo(QUIET) > 0 && quiet.compareTo(LEASE_TELLS) < 0;
     }
 
-    /** All words that are fresh. */
-    public List<Word> fresh() {
-        var list = new ArrayList<Word>();
-        words.keySet().forEach(n -> word(n).ifPresent(list::add));
+    /** All heartbeats that are fresh. */
+    public List<Heartbeat> fresh() {
+        var list = new ArrayList<Heartbeat>();
+        heartbeats.keySet().forEach(n -> heartbeat(n).ifPresent(list::add));
         return list;
     }
 
-    /** What a machine's owner told of it under its present token, while the owner's word is fresh. */
+    /** What a machine's owner told of it under its present token, while the owner's heartbeat is fresh. */
     public Optional<Machine> machine(HostRecord host) {
-        return word(host.owner()).isEmpty() ? Optional.empty() : told(host.owner(), host.id()).filter(m -> m.token == host.token());
+        return heartbeat(host.owner()).isEmpty() ? Optional.empty() : told(host.owner(), host.id()).filter(m -> m.token == host.token());
     }
 
     /** The same however old it is: for an owner that lives but cannot talk to this controller. */
@@ -136,8 +136,8 @@
         for (Map.Entry<String, Heard> e : heard.entrySet()) {
             Machine m = e.getValue().machines.get(host.id());
             if (m != null) {
-                boolean present = m.up && e.getKey().equals(host.owner()) && m.token == host.token() && words.containsKey(e.getKey());
-                Duration at = present ? words.get(e.getKey()).at : m.toldAt.minus(m.silentFor);
+                boolean present = m.up && e.getKey().equals(host.owner()) && m.token == host.token() && heartbeats.containsKey(e.getKey());
+                Duration at = present ? heartbeats.get(e.getKey()).at : m.toldAt.minus(m.silentFor);
                 last = last.filter(l -> l.compareTo(at) >= 0).or(() -> Optional.of(at));
             }
         }
@@ -166,7 +166,7 @@
             if (leader.get().filter(seed.name()::equals).isPresent()) {
                 add(n, news, taken.getOrDefault(seed.name(), 0L));
             }
-            http.send(seed.address(), "POST", "/peer/word", Admin.write(n), "application/json", TIMEOUT).whenComplete((a, e) -> {
+            http.send(seed.address(), "POST", "/peer/heartbeat", Admin.write(n), "application/json", TIMEOUT).whenComplete((a, e) -> {
                 if (a != null && a.status() == 200) {
                     answered(seed.name(), asked, a.body());
                 }
@@ -191,7 +191,7 @@
         n.put("upTo", upTo);
     }
 
-    /** Takes a word in and builds the answer to it; an unreadable one counts as none. */
+    /** Takes a heartbeat in and builds the answer to it; an unreadable one counts as none. */
     public ObjectNode hear(byte[] body, Duration viewAge, Need need) {
         ObjectNode answer = head(viewAge, need);
         try {
@@ -214,7 +214,7 @@
                 tellCancelled(answer, n.path("readTo").asLong(-1));
             }
         } catch (IOException e) {
-            // counts as no word
+            // counts as no heartbeat
         }
         return answer;
     }
@@ -249,11 +249,11 @@
                 taken.put(node, n.path("tookOf").asLong() == incarnation.getAsLong() ? n.path("took").asLong() : 0L);
             }
         } catch (IOException e) {
-            // counts as no word
+            // counts as no heartbeat
         }
     }
 
     private void note(String node, JsonNode n) {
-        words.put(node, new Word(timeline.now(), n.path("inc").asLong(), Duration.ofMillis(n.path("viewAgeMs").asLong()), n.path("writes").asDouble(), n.path("waiting").asInt()));
+        heartbeats.put(node, new Heartbeat(timeline.now(), n.path("inc").asLong(), Duration.ofMillis(n.path("viewAgeMs").asLong()), n.path("writes").asDouble(), n.path("waiting").asInt()));
     }
 }
--- a/src/main/java/org/dunespindle/coordination/Placements.java
+++ b/src/main/java/org/dunespindle/coordination/Placements.java
@@ -42,7 +42,7 @@
     private final Timeline timeline;
     private final Decisions decisions;
     private final Predicate<HostRecord> takesTasks;
-    private final Stops stops;
+    private final Preemptions preemptions;
     private final HostDesk hostDesk;
     /** Records proposed but not stored yet: their room is taken, or another job would be booked on it too. */
     private final Map<String, JobRecord> proposed = new HashMap<>();
@@ -59,7 +59,7 @@
         }
     }
 
-    Placements(Settings settings, Replica replica, Membership membership, Committer committer, MachineEdits edits, Outcomes outcomes, Stops stops, HostDesk hostDesk, Timeline timeline,
+    Placements(Settings settings, Replica replica, Membership membership, Committer committer, MachineEdits edits, Outcomes outcomes, Preemptions preemptions, HostDesk hostDesk, Timeline timeline,
             Decisions decisions, Predicate<HostRecord> takesTasks) {
         this.settings = settings;
         this.replica = replica;
@@ -67,7 +67,7 @@
         this.committer = committer;
         this.edits = edits;
         this.outcomes = outcomes;
-        this.stops = stops;
+        this.preemptions = preemptions;
         this.hostDesk = hostDesk;
         this.timeline = timeline;
         this.decisions = decisions;
@@ -76,7 +76,7 @@
 
     /** A job as it will be once what is proposed for it is stored. */
     JobRecord ahead(JobRecord job) {
-        return stops.marked(proposed.getOrDefault(job.id(), job));
+        return preemptions.marked(proposed.getOrDefault(job.id(), job));
     }
 
     /** One transaction per booking, guarded by the job, its machines and its team's ledger. */
@@ -208,11 +208,11 @@
 
     /** Stops the tasks that give way, once their machine is borrowed: its owner would fill the room with other work at once. */
     void evict(Planner.Plan plan) {
-        stops.prune(replica);
+        preemptions.prune(replica);
         for (Planner.Eviction e : plan.evictions()) {
             HostRecord h = replica.hosts().get(e.claim().host());
             if (h != null && membership.owns(h) && !e.claim().stopping()) {
-                stops.add(Stops.of(e.victim(), e.claim()), h.id());
+                preemptions.add(Preemptions.of(e.victim(), e.claim()), h.id());
                 hostDesk.attend(h.id());
                 decisions.tell(LOG, "task {}/{} on {} gives way to {}", e.victim().id(), e.claim().task(), e.claim().host(), e.forJob());
             }
--- a/src/main/java/org/dunespindle/coordination/Stops.java
+++ b/src/main/java/org/dunespindle/coordination/Preemptions.java
@@ -14,7 +14,7 @@
  * Tasks that are to give way, decided here and stored nowhere: stopping a task needs no record, only its end does. A
  * decision that is lost with its process is taken anew by the next leader, if it still makes sense.
  */
-final class Stops {
+final class Preemptions {
     private final Map<String, Set<Planner.Ended>> byHost = new HashMap<>();
     private final Map<String, Set<Planner.Ended>> byJob = new HashMap<>();
 
--- a/src/main/java/org/dunespindle/coordination/Sessions.java
+++ b/src/main/java/org/dunespindle/coordination/Sessions.java
@@ -52,7 +52,7 @@
         final Set<Order.Run> starts = new HashSet<>();
         long startsToken;
         long startsSession;
-        /** For the word to the leader: what was told last, and its number. */
+        /** For the heartbeat to the leader: what was told last, and its number. */
         String told = "";
         long toldAs;
 
--- a/src/main/java/org/dunespindle/coordination/Vigil.java
+++ b/src/main/java/org/dunespindle/coordination/StallDetector.java
@@ -10,14 +10,14 @@
  * nobody here listened, so silence is counted from the moment of waking. What rests on the age of the stored
  * state needs no such care: a reading counts from when it was asked for.
  */
-final class Vigil {
-    private static final Logger LOG = LoggerFactory.getLogger(Vigil.class);
+final class StallDetector {
+    private static final Logger LOG = LoggerFactory.getLogger(StallDetector.class);
     private static final Duration STOOD_STILL = Duration.ofSeconds(2);
     private final Timeline timeline;
     private Duration lastBeat;
     private Duration listeningSince;
 
-    Vigil(Timeline timeline) {
+    StallDetector(Timeline timeline) {
         this.timeline = timeline;
         this.lastBeat = timeline.now();
         this.listeningSince = lastBeat;
--- a/src/main/java/org/dunespindle/coordination/WriteShare.java
+++ b/src/main/java/org/dunespindle/coordination/WriteShare.java
@@ -57,9 +57,9 @@
         double own = want(rate, committer.waiting());
         double wanted = own;
         for (Settings.Seed seed : settings.seeds()) {
-            var word = peers.word(seed.name());
-            if (word.isPresent()) {
-                wanted += want(word.get().writes(), word.get().waiting());
+            var heartbeat = peers.heartbeat(seed.name());
+            if (heartbeat.isPresent()) {
+                wanted += want(heartbeat.get().writes(), heartbeat.get().waiting());
             } else if (membership.incarnationOf(seed.name()).isPresent()) {
                 left -= all / (settings.seeds().size() + 1); // alive but not heard: it takes its equal part
             } else {
--- a/src/main/java/org/dunespindle/transport/CallFailure.java
+++ b/src/main/java/org/dunespindle/transport/CallFailure.java
@@ -1,5 +1,7 @@
 package org.dunespindle.transport;
 
+import java.util.concurrent.CompletionException;
+
 /**
  * A request without an answer. Whether it was {@link #sent} decides what its sender may conclude: an
  * unsent request can never be executed, a sent one may be executed at any later time.
@@ -16,4 +18,9 @@
     public boolean sent() {
         return sent;
     }
+
+    /** What a call failed with, without the wrapping that a future's later stages add. */
+    public static Throwable cause(Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+    }
 }
--- a/src/test/java/org/dunespindle/coordination/PeersTest.java
+++ b/src/test/java/org/dunespindle/coordination/PeersTest.java
@@ -35,7 +35,7 @@
         return new HostRecord("i-1", "", "m", "z", false, owner, 1, token, Instant.EPOCH, Instant.EPOCH, false, "");
     }
 
-    private ObjectNode word(String node, long inc, long from, long upTo, boolean withNews) {
+    private ObjectNode heartbeat(String node, long inc, long from, long upTo, boolean withNews) {
         ObjectNode n = Pack.map().put("node", node).put("inc", inc).put("viewAgeMs", 0).put("writes", 0.0).put("waiting", 0);
         if (withNews) {
             n.put("from", from).put("upTo", upTo).putArray("news").addArray().add("i-1").add(3).add(true).add(false).add(0).add("a:1").add("image");
@@ -45,9 +45,9 @@
 
     @Test
     void aMachineThatIsUpStaysAliveWhileItsOwnerTalks() {
-        word("n1", 1, 0, 1, true);
+        heartbeat("n1", 1, 0, 1, true);
         sim.run(Duration.ofSeconds(3));
-        word("n1", 1, 1, 1, false);
+        heartbeat("n1", 1, 1, 1, false);
         assertEquals(Optional.of(Duration.ofSeconds(3)), peers.aliveAt(host("n1", 3)));
         assertTrue(peers.machine(host("n1", 3)).orElseThrow().up());
         sim.run(Duration.ofSeconds(30));
@@ -57,9 +57,9 @@
     /** A machine that died under its new owner counted as alive for ever, because the earlier one went on talking. */
     @Test
     void whatAnEarlierOwnerToldSaysNothingAboutLater() {
-        word("n1", 1, 0, 1, true);
+        heartbeat("n1", 1, 0, 1, true);
         sim.run(Duration.ofSeconds(20));
-        word("n1", 1, 1, 1, false);
+        heartbeat("n1", 1, 1, 1, false);
         assertEquals(Optional.of(Duration.ZERO), peers.aliveAt(host("n0", 4)));
         assertEquals(Optional.of(Duration.ZERO), peers.aliveAt(host("n1", 5)), "back under a new token, not proven yet");
         assertEquals(Optional.empty(), peers.machine(host("n1", 5)));
@@ -67,10 +67,10 @@
 
     @Test
     void newsThatDoNotContinueWhatIsKnownAreAskedForAgain() {
-        assertEquals(0, word("n1", 1, 7, 9, true).path("took").asLong());
+        assertEquals(0, heartbeat("n1", 1, 7, 9, true).path("took").asLong());
         assertEquals(Optional.empty(), peers.machine(host("n1", 3)));
-        assertEquals(9, word("n1", 1, 0, 9, true).path("took").asLong());
-        assertEquals(0, word("n1", 2, 9, 9, false).path("took").asLong(), "a new process starts counting anew");
+        assertEquals(9, heartbeat("n1", 1, 0, 9, true).path("took").asLong());
+        assertEquals(0, heartbeat("n1", 2, 9, 9, false).path("took").asLong(), "a new process starts counting anew");
         assertEquals(Optional.empty(), peers.machine(host("n1", 3)));
     }
 
@@ -86,7 +86,7 @@
     @Test
     void whoFellQuietAMomentAgoMayHaveEnded() {
         assertEquals(false, peers.fellQuiet("n1"));
-        word("n1", 1, 0, 1, true);
+        heartbeat("n1", 1, 0, 1, true);
         assertEquals(false, peers.fellQuiet("n1"));
         sim.run(Duration.ofSeconds(3));
         assertEquals(true, peers.fellQuiet("n1"));
--- a/src/test/java/org/dunespindle/sim/World.java
+++ b/src/test/java/org/dunespindle/sim/World.java
@@ -453,7 +453,7 @@
 
     private static void receive(Controller c, ObjectNode report, BiConsumer<Integer, JsonNode> answer) {
         try {
-            c.hostDesk().report(WorkerReport.parse(Pack.read(Pack.write(report))), answer::accept);
+            c.reportDesk().report(WorkerReport.parse(Pack.read(Pack.write(report))), answer::accept);
         } catch (MalformedException e) {
             throw new IllegalStateException(e);
         }
