--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -48,6 +48,12 @@
     private static final Duration OTHERS_FIRST = Duration.ofMillis(900);
     private static final Duration GATHER_PER_WAITING = Duration.ofMillis(30);
     private static final Duration GATHER_AT_MOST = Duration.ofSeconds(3);
+    /**
+     * With so many tasks of an array under way, those that end are replaced together: each booking takes a place of its own in the
+     * job's record, and a record of small bookings holds a fraction of the tasks.
+     */
+    private static final int MANY_UNDER_WAY = 200;
+    private static final Duration GATHER_MANY = Duration.ofMillis(900);
     private static final Duration TELL_LOAD_EVERY = Duration.ofSeconds(10);
     private static final int ROUND_SHARE = 4;
     private static final int PLAN_SHARE = 10;
@@ -452,7 +458,8 @@
             }
             boolean home = membership.homeOf(j.id()).filter(settings.nodeName()::equals).isPresent();
             Duration still = now.minus(stillSince.get(j.id()));
-            if (still.compareTo(home ? j.claims().isEmpty() ? Duration.ZERO : gather : OTHERS_FIRST.plus(gather)) < 0) {
+            Duration patience = j.claims().size() >= MANY_UNDER_WAY && gather.compareTo(GATHER_MANY) < 0 ? GATHER_MANY : gather;
+            if (still.compareTo(home ? j.claims().isEmpty() ? Duration.ZERO : patience : OTHERS_FIRST.plus(patience)) < 0) {
                 alone.add(j.id());
             }
         }
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -163,6 +163,8 @@
         private final Map<String, Resources> pending = new HashMap<>();
         /** Array jobs that left no room which one more of their tasks would fit into; room only shrinks while arrays are planned. */
         private final List<Submission> fullFor = new ArrayList<>();
+        /** Tasks by job whose end is stored along with the job's next placement; they take no more of its record. */
+        private final Map<String, Integer> endedOf = new HashMap<>();
         /** What a team's waiting gang needs of the limit, kept free of later work. */
         private final Map<String, Resources> reserved = new HashMap<>();
 
@@ -179,7 +181,11 @@
             for (JobRecord j : s.jobs()) {
                 for (Claim c : j.claims()) {
                     Slot slot = byId.get(c.host());
-                    if (slot == null || !s.ended().isEmpty() && s.ended().contains(new Ended(j.id(), c.task(), c.base()))) {
+                    boolean ended = !s.ended().isEmpty() && s.ended().contains(new Ended(j.id(), c.task(), c.base()));
+                    if (ended) {
+                        endedOf.merge(j.id(), 1, Integer::sum);
+                    }
+                    if (slot == null || ended) {
                         continue;
                     }
                     Resources one = j.job().perTask();
@@ -386,7 +392,7 @@
                 kept = reserved.getOrDefault(job.team(), Resources.NONE);
                 zones = new Zones(j);
                 unplaced = j.unplacedCount();
-                most = Math.min(unplaced, Math.max(0, s.mostTasks().applyAsInt(j) - j.claims().size()));
+                most = Math.min(unplaced, Math.max(0, s.mostTasks().applyAsInt(j) - j.claims().size() + endedOf.getOrDefault(j.id(), 0)));
                 order = j.unplaced(most).iterator();
             }
 
--- a/src/test/java/org/dunespindle/coordination/PlannerTest.java
+++ b/src/test/java/org/dunespindle/coordination/PlannerTest.java
@@ -162,6 +162,16 @@
         assertEquals(List.of("wk-000990"), plan.bookings().stream().map(b -> b.job().id()).toList());
     }
 
+    /** An array with as many tasks under way as its record takes: those that have ended make place at once, not when their end is stored by itself. */
+    @Test
+    void endedTasksDoNotCountAgainstTheRecord() {
+        JobRecord full = job(1, "red", Shape.ARRAY, Priority.LOW, 9, false, false, true).placed(new TreeMap<>(Map.of(0, "a", 1, "a", 2, "a")));
+        var ended = Set.of(new Planner.Ended(full.id(), 0, full.claims().get(0).base()), new Planner.Ended(full.id(), 2, full.claims().get(0).base()));
+        Planner.Plan plan = Planner.plan(new Planner.Snapshot(Instant.ofEpochSecond(1000), List.of(full), List.of(host("a", "east", false, 8)), TEAMS, Map.of(), Set.of(), j -> 3, ended, Set.of(), true,
+                List.of(), TARGETS, p -> Duration.ZERO));
+        assertEquals(Set.of(3, 4), plan.bookings().get(0).places().keySet());
+    }
+
     /** Room that urgent jobs will need within seconds is not filled with work that would have to give way again. */
     @Test
     void roomForWhatComesWithinSecondsIsKeptFromLowerWork() {
