A worker on its way to the next controller is not taken for mute

Cause: since answers to commands no longer count as reports, a machine just taken over, whose worker still waits for its old controller (4 s and a second), got nothing new and had what had not started placed elsewhere. It is mute two reports and 6 s after its last report now, and takes tasks while it answers until then.

--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -279,7 +279,7 @@
             return false;
         }
         Sessions.Session s = sessions.of(h.id());
-        return s.report.get().notice().isEmpty() && s.heardAt.filter(t -> timeline.now().minus(t).compareTo(settings.workers().report().multipliedBy(3).plusSeconds(1)) < 0).isPresent();
+        return s.report.get().notice().isEmpty() && !hostDesk.mute(s) && s.aliveAt().filter(t -> timeline.now().minus(t).compareTo(settings.workers().report().multipliedBy(3).plusSeconds(1)) < 0).isPresent();
     }
 
     /** Asks for a round soon. A dear round is followed by a longer pause, so that answers to users and workers keep their turn. */
--- a/src/main/java/org/dunespindle/coordination/HostDesk.java
+++ b/src/main/java/org/dunespindle/coordination/HostDesk.java
@@ -39,6 +39,8 @@
     private static final Duration SILENT_PAUSE = Duration.ofSeconds(6);
     static final Duration REFUSED_PAUSE = Duration.ofMillis(200);
     static final Duration START_VIEW = Duration.ofSeconds(3);
+    private static final Duration LATE_REPORT = Duration.ofSeconds(2);
+    private static final Duration NEXT_CONTROLLER = Duration.ofSeconds(6);
     private static final Duration ONE_WAY_AFTER = Duration.ofSeconds(5);
     static final int ORDERS_AT_ONCE = 200;
     private static final int MOST_KEPT_EXITS = 6;
@@ -256,9 +258,21 @@
         return preemptions.marked(host, cancellations.marked(replica.claimsOn(host)));
     }
 
-    /** Whether a machine's reports no longer arrive, though it may answer when it is asked: then its lease is running out. */
+    /** Whether nothing of any kind has come from a machine for longer than reports take. */
+    boolean silent(Sessions.Session s) {
+        return olderThan(s.aliveAt(), LATE_REPORT);
+    }
+
+    /**
+     * Whether a machine's reports no longer arrive, though it may answer when it is asked: then its lease is running out. A worker whose
+     * controller does not answer, or that was taken over, needs some seconds to find the next one.
+     */
     boolean mute(Sessions.Session s) {
-        return s.heardAt.filter(t -> stalls.silence(t).compareTo(settings.workers().report().multipliedBy(2).plusSeconds(2)) < 0).isEmpty();
+        return olderThan(s.heardAt, NEXT_CONTROLLER);
+    }
+
+    private boolean olderThan(Optional<Duration> sign, Duration beyondTwoReports) {
+        return sign.filter(t -> stalls.silence(t).compareTo(settings.workers().report().multipliedBy(2).plus(beyondTwoReports)) < 0).isEmpty();
     }
 
     private void conclude(HostRecord record, Sessions.Session s) {
--- a/src/main/java/org/dunespindle/coordination/ReportDesk.java
+++ b/src/main/java/org/dunespindle/coordination/ReportDesk.java
@@ -81,7 +81,7 @@
         Sessions.Session session = sessions.of(r.host());
         Optional<WorkerReport> before = session.report;
         Duration now = timeline.now();
-        boolean wasSilent = hostDesk.mute(session);
+        boolean wasSilent = hostDesk.silent(session);
         boolean newer = session.reported(r, now);
         if (r.notice().isPresent()) {
             hostDesk.notice(r.host());
