--- a/src/main/java/org/dunespindle/AdminCommands.java
+++ b/src/main/java/org/dunespindle/AdminCommands.java
@@ -39,6 +39,8 @@
         reads.put("teams", "Show the teams' use and limits.");
         reads.put("controllers", "List live controllers.");
         reads.put("options", "Show the operators' settings.");
+        reads.put("cells", "Show other cells, if the federation is on.");
+        reads.put("delegations", "Show jobs given to other cells or taken in from them.");
         reads.put("decisions", "Show a controller's latest decisions.");
         reads.put("latency", "Show latencies of rounds and calls.");
         return reads;
@@ -51,6 +53,15 @@
                 "drain",
                 command("drain", "Give a machine back once its tasks have ended.")
                         .addPositional(argument("HOST", "the machine's id")));
+        spec.addSubcommand(
+                "abandon",
+                command("abandon", "Give up another cell for good: its jobs are placed here again.")
+                        .addPositional(argument("CELL", "the cell's name"))
+                        .addOption(OptionSpec.builder("--confirm")
+                                .paramLabel("CELL")
+                                .type(String.class)
+                                .description("the name again; without it the risk and the numbers of jobs are told")
+                                .build()));
         spec.addSubcommand(
                 "set",
                 command("set", "Change one of the operators' settings for all controllers.")
@@ -93,6 +104,7 @@
                 case "job" -> print(call(http, at, "GET", "/v1/jobs/" + argument, new byte[0]));
                 case "drain" -> print(call(http, at, "POST", "/v1/hosts/" + argument + "/drain", new byte[0]));
                 case "set" -> set(http, at, argument);
+                case "abandon" -> abandon(http, at, argument, parsed.matchedOptionValue("--confirm", ""));
                 default -> print(call(http, at, "GET", "/v1/" + name, new byte[0]));
             };
         } catch (CompletionException e) {
@@ -107,6 +119,11 @@
         }
     }
 
+    private static int abandon(HttpCaller http, String at, String cell, String confirmed) throws IOException {
+        byte[] body = Admin.write(MessagePackCodec.map().put("confirm", confirmed));
+        return print(call(http, at, "POST", "/v1/cells/" + cell + "/abandon", body));
+    }
+
     private static HttpAnswer call(HttpCaller http, String at, String method, String path, byte[] body) {
         return http.send(at, method, path, body, "application/json", TIMEOUT).join();
     }
@@ -142,6 +159,11 @@
         }
         System.err.println("dunespindle: refused (" + answer.status() + "): "
                 + body.path("error").asText("no reason given"));
+        for (String count : List.of("jobsThere", "itsJobsHere")) {
+            if (body.has(count)) {
+                System.err.println("  " + count + ": " + body.get(count).asText());
+            }
+        }
         return REFUSED;
     }
 }
--- a/src/main/java/org/dunespindle/Daemon.java
+++ b/src/main/java/org/dunespindle/Daemon.java
@@ -13,12 +13,14 @@
 import java.util.function.Consumer;
 import org.dunespindle.coordination.Admin;
 import org.dunespindle.coordination.Controller;
+import org.dunespindle.coordination.ExchangeContext;
+import org.dunespindle.coordination.JobExchange;
 import org.dunespindle.coordination.UserApi;
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.MessagePackCodec;
 import org.dunespindle.protocol.Settings;
 import org.dunespindle.protocol.WorkerReport;
-import org.dunespindle.storage.FormatVersion;
+import org.dunespindle.storage.FormatSupport;
 import org.dunespindle.storage.Timeline;
 import org.dunespindle.transport.HttpCall;
 import org.dunespindle.transport.HttpCaller;
@@ -37,13 +39,32 @@
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final Sockets sockets;
     private final Controller controller;
+    private final Optional<Extension> extension;
     private final Channel front;
     private final Channel peer;
     /** Written by the event loop, read by whoever waits for the end. */
     private volatile String whyEnded;
 
-    /** Binds the listeners and starts the controller. */
+    /** A part that a features file switches on, as the daemon needs it. */
+    public interface Extension extends AutoCloseable {
+        /** The stored forms that the controller announces with it. */
+        FormatSupport formats();
+
+        /** Links a controller to other cells; called once, before the controller starts. */
+        JobExchange connect(ExchangeContext context, NioEventLoopGroup group);
+
+        @Override
+        void close();
+    }
+
+    /** Binds the listeners and starts the controller, without any feature. */
     public Daemon(Settings settings) throws InterruptedException {
+        this(settings, Optional.empty());
+    }
+
+    /** Binds the listeners and starts the controller. */
+    public Daemon(Settings settings, Optional<Extension> extension) throws InterruptedException {
+        this.extension = extension;
         sockets = new Sockets(settings.sockets());
         EventLoop loop = group.next();
         var timeline = new LoopTimeline(loop);
@@ -51,8 +72,9 @@
                 settings,
                 new HttpCaller(loop, settings.sockets() / KEPT_PART, sockets),
                 timeline,
-                FormatVersion.NEWEST,
-                this::end);
+                extension.map(Extension::formats).orElse(FormatSupport.STANDARD),
+                this::end,
+                context -> extension.map(part -> part.connect(context, group)).orElse(JobExchange.NONE));
         front = HttpListener.open(
                 group,
                 settings.front(),
@@ -117,6 +139,7 @@
 
     @Override
     public void close() {
+        extension.ifPresent(Extension::close);
         front.close();
         peer.close();
         group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/src/main/java/org/dunespindle/FederationExtension.java
@@ -0,0 +1,57 @@
+package org.dunespindle;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import org.dunespindle.coordination.ExchangeContext;
+import org.dunespindle.coordination.JobExchange;
+import org.dunespindle.federation.Federation;
+import org.dunespindle.federation.FederationSettings;
+import org.dunespindle.federation.grpc.GrpcCellServer;
+import org.dunespindle.federation.grpc.GrpcCellTransport;
+import org.dunespindle.storage.FormatSupport;
+
+/** Links a daemon to other cells over gRPC. */
+public final class FederationExtension implements Daemon.Extension {
+    private final FederationSettings settings;
+    private GrpcCellTransport transport;
+    private GrpcCellServer server;
+
+    /** Creates the link that a features file describes. */
+    public FederationExtension(FederationSettings settings) {
+        this.settings = settings;
+    }
+
+    @Override
+    public FormatSupport formats() {
+        return FormatSupport.FEDERATED;
+    }
+
+    @Override
+    public JobExchange connect(ExchangeContext context, NioEventLoopGroup group) {
+        EventLoop loop = group.next(); // the group has one loop, the controller's
+        transport = new GrpcCellTransport(group, loop);
+        var federation = new Federation(context, settings, transport, new SecureRandom());
+        String host = context.settings().peerListen().getHostString();
+        try {
+            server = new GrpcCellServer(new InetSocketAddress(host, settings.port()), group, loop, federation::handle);
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot listen on " + host + ":" + settings.port(), e);
+        }
+        return federation;
+    }
+
+    /** The port that other cells reach. */
+    public int port() {
+        return server.port();
+    }
+
+    @Override
+    public void close() {
+        transport.close();
+        server.close();
+    }
+}
--- a/src/main/java/org/dunespindle/Main.java
+++ b/src/main/java/org/dunespindle/Main.java
@@ -1,6 +1,7 @@
 package org.dunespindle;
 
 import java.nio.file.Path;
+import java.util.Optional;
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.Settings;
 import picocli.CommandLine;
@@ -26,7 +27,10 @@
         // The platform's own call is recognised before picocli is loaded: its classes are too old for the class
         // archive and cost a seventh-of-a-core machine well over a second of every start.
         if (args.length == 2 && args[0].equals("--config")) {
-            System.exit(serve(Path.of(args[1])));
+            System.exit(serve(Path.of(args[1]), Optional.empty()));
+        }
+        if (args.length == 4 && args[0].equals("--features") && args[2].equals("--config")) {
+            System.exit(serve(Path.of(args[3]), Optional.of(Path.of(args[1]))));
         }
         System.exit(new CommandLine(spec()).setExecutionStrategy(Main::execute).execute(args));
     }
@@ -42,6 +46,11 @@
                 .type(Path.class)
                 .description("Run a controller with this settings file (TOML).")
                 .build());
+        spec.addOption(OptionSpec.builder("--features")
+                .paramLabel("FILE")
+                .type(Path.class)
+                .description("Switch on what this features file (TOML) names.")
+                .build());
         CommandSpec classArchiveTraining = CommandSpec.create().name("train-class-archive");
         classArchiveTraining
                 .usageMessage()
@@ -64,10 +73,10 @@
             parsed.commandSpec().commandLine().usage(System.err);
             return BAD_SETTINGS;
         }
-        return serve(file);
+        return serve(file, Optional.ofNullable(parsed.matchedOptionValue("--features", null)));
     }
 
-    private static int serve(Path file) {
+    private static int serve(Path file, Optional<Path> features) {
         Settings settings;
         try {
             settings = Settings.load(file);
@@ -75,7 +84,16 @@
             System.err.println("dunespindle: settings: " + e.getMessage());
             return BAD_SETTINGS;
         }
-        try (var daemon = new Daemon(settings)) {
+        Optional<Daemon.Extension> extension = Optional.empty();
+        try {
+            if (features.isPresent()) {
+                extension = Features.load(features.get()).federation().map(FederationExtension::new);
+            }
+        } catch (MalformedException e) {
+            System.err.println("dunespindle: features: " + e.getMessage());
+            return BAD_SETTINGS;
+        }
+        try (var daemon = new Daemon(settings, extension)) {
             daemon.awaitEnd();
             return 0;
         } catch (InterruptedException e) {
--- a/src/main/java/org/dunespindle/coordination/Admin.java
+++ b/src/main/java/org/dunespindle/coordination/Admin.java
@@ -32,6 +32,7 @@
     private final MachineWriter machineWriter;
     private final Decisions decisions;
     private final Controller controller;
+    private final JobExchange exchange;
     private final Map<String, Histogram> latencies;
 
     /** An answer before it is put on the wire. */
@@ -42,6 +43,7 @@
             Committer committer,
             MachineWriter machineWriter,
             Controller controller,
+            JobExchange exchange,
             Map<String, Histogram> latencies) {
         this.settings = context.settings();
         this.replica = context.replica();
@@ -50,6 +52,7 @@
         this.committer = committer;
         this.machineWriter = machineWriter;
         this.controller = controller;
+        this.exchange = exchange;
         this.latencies = latencies;
     }
 
@@ -59,6 +62,8 @@
             answer.accept(error(404, "no such path"));
         } else if (!replica.loaded()) {
             answer.accept(error(503, "this controller is still reading the stored state"));
+        } else if (exchange.administer(method, path.substring(PREFIX.length()), body, answer)) {
+            return;
         } else if (method.equals("GET")) {
             replica.refresh(
                     () -> answer.accept(read(path.substring(PREFIX.length()))),
@@ -72,7 +77,8 @@
         }
     }
 
-    private static Answer error(int status, String text) {
+    /** An answer that tells what is wrong. */
+    public static Answer error(int status, String text) {
         return new Answer(status, MessagePackCodec.map().put("error", text));
     }
 
@@ -138,7 +144,8 @@
     }
 
     private ObjectNode show(JobRecord j, boolean whole) {
-        ObjectNode n = UserApi.show(j).body();
+        ObjectNode n = UserApi.show(j, exchange).body();
+        j.visit().ifPresent(visit -> n.put("visitorOf", visit.home()));
         j.spec()
                 .ifPresent(s -> n.put("class", s.jobClass())
                         .put("team", s.team())
@@ -150,7 +157,7 @@
             showReplicas(n, j);
         }
         boolean placing = j.open() && j.job().gang() && j.mode() != JobRecord.Mode.REAL;
-        if (placing || j.unplacedCount() > 0) {
+        if (placing || j.unplacedCount() > 0 || j.away()) {
             n.put("waits", controller.whyWaits(j));
         }
         if (whole && j.spec().isPresent()) {
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.HdrHistogram.Histogram;
 import org.dunespindle.protocol.Settings;
+import org.dunespindle.storage.FormatSupport;
 import org.dunespindle.storage.JobRecord;
 import org.dunespindle.storage.JobRecordWriter;
 import org.dunespindle.storage.Keys;
@@ -73,6 +75,7 @@
     private final FormatUpgrade formatUpgrade;
     private final OversizeRecords oversizeRecords;
     private final Consumer<String> cannotGoOn;
+    private final JobExchange exchange;
     private Options options;
     private long optionsStamp;
     private final Admin admin;
@@ -92,11 +95,17 @@
     /**
      * Wires a controller together; nothing happens before {@link #start}.
      *
-     * @param newestFormat the newest version of the stored forms that is announced and used
+     * @param formats the versions of the stored forms that are announced and understood
      * @param cannotGoOn told, in words for an operator, why this controller must end
+     * @param connector links the controller to other cells
      */
     public Controller(
-            Settings settings, Caller http, Timeline timeline, int newestFormat, Consumer<String> cannotGoOn) {
+            Settings settings,
+            Caller http,
+            Timeline timeline,
+            FormatSupport formats,
+            Consumer<String> cannotGoOn,
+            Function<ExchangeContext, JobExchange> connector) {
         this.cannotGoOn = cannotGoOn;
         this.settings = settings;
         this.timeline = timeline;
@@ -106,11 +115,11 @@
         var targets = new Targets(settings.objectives());
         this.state = new StateClient(http, settings, timeline);
         this.replica = new Replica(state, timeline, SYNC_EVERY, this::wake);
-        this.membership = new Membership(settings.nodeName(), newestFormat, state, replica, timeline);
+        this.membership = new Membership(settings.nodeName(), formats.announced(), state, replica, timeline);
         this.committer = new Committer(
                 state, replica, timeline, settings.state().lowest().txnOps(), this::wake);
         var context = context();
-        this.formatUpgrade = new FormatUpgrade(context, committer, newestFormat);
+        this.formatUpgrade = new FormatUpgrade(context, committer, formats);
         this.oversizeRecords = new OversizeRecords(context, committer, state);
         this.machineWriter = new MachineWriter(replica, committer, timeline);
         this.failureAttribution = new FailureAttribution(replica::job);
@@ -143,9 +152,26 @@
         this.gangs = new Gangs(context, committer, workerClient, this::options);
         this.snapshots = new PlanSnapshots(context, planSources(context, renter), targets, this::options);
         this.loadLog = new LoadLog(context, heartbeatHandler, workerClient, committer, state, rounds, plans);
-        this.admin = new Admin(context, committer, machineWriter, this, latencies());
         this.connectivity = new WorkerConnectivity(context, workerClient, peers);
-        this.userApi = new UserApi(context, state, committer, catalog::types, accepts);
+        this.exchange = connector.apply(exchangeContext(context));
+        this.admin = new Admin(context, committer, machineWriter, this, exchange, latencies());
+        this.userApi = new UserApi(context, state, committer, catalog::types, accepts, exchange);
+    }
+
+    private ExchangeContext exchangeContext(ControllerContext context) {
+        return new ExchangeContext(
+                settings,
+                timeline,
+                replica,
+                context.jobWriter(),
+                membership,
+                committer,
+                decisions,
+                this::options,
+                job -> catalog.types()
+                        .map(types -> new ExchangeContext.NeverVerdict(UserApi.whyNever(job, types, settings))),
+                this::whyWaitsHere,
+                () -> catalog.types().orElse(List.of()));
     }
 
     private PlanSnapshots.Sources planSources(ControllerContext context, MachineRenter renter) {
@@ -196,6 +222,10 @@
 
     /** Why an unfinished job waits, in words for its user. */
     public String whyWaits(JobRecord j) {
+        return exchange.whyWaits(j).orElseGet(() -> whyWaitsHere(j));
+    }
+
+    private String whyWaitsHere(JobRecord j) {
         if (replica.age().compareTo(PLACING_VIEW) > 0) {
             return "the state service does not answer; nothing new is placed";
         }
@@ -207,6 +237,9 @@
                     + failureAttribution.machinesOf(j.id()).size()
                     + " machines seen from here, and none ended well; one is tried at a time, with growing pauses";
         }
+        if (j.away()) {
+            return "cell " + j.delegation().orElseThrow().cell() + " may hold it";
+        }
         if (j.unplacedCount() == 0) {
             return "its placeholders fetch the image";
         }
@@ -233,6 +266,7 @@
     public void start() {
         replica.start();
         catalog.start();
+        exchange.start();
         tick();
         sendHeartbeat();
     }
@@ -391,7 +425,8 @@
         Duration begun = timeline.now();
         plannedFor = replica.version() + workerClient.version();
         Planner.Plan before = plan;
-        plan = Planner.plan(snapshots.now());
+        Planner.Snapshot snapshot = snapshots.now();
+        plan = Planner.plan(snapshot);
         if (LOG.isDebugEnabled() && membership.leads()) {
             plan.reasons().forEach((job, why) -> {
                 if (!why.equals(before.reasons().get(job))) {
@@ -403,6 +438,7 @@
         if (membership.leads()) {
             ownership.borrow(plan);
         }
+        exchange.planned(snapshot, plan);
         placements.evict(plan);
         placements.move(plan);
         placements.place(plan);
--- /dev/null
+++ b/src/main/java/org/dunespindle/coordination/ExchangeContext.java
@@ -0,0 +1,37 @@
+package org.dunespindle.coordination;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.dunespindle.protocol.MachineType;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.protocol.Submission;
+import org.dunespindle.storage.JobRecord;
+import org.dunespindle.storage.JobRecordWriter;
+import org.dunespindle.storage.Replica;
+import org.dunespindle.storage.Timeline;
+
+/**
+ * What a {@link JobExchange} may use of the controller that it belongs to.
+ *
+ * @param whyNever why a job can never run in this cell, if so; empty while that is not known yet
+ * @param whyWaits why an unfinished job waits in this cell
+ * @param machineTypes what the cell's cloud rents out; empty while that is not known yet
+ */
+public record ExchangeContext(
+        Settings settings,
+        Timeline timeline,
+        Replica replica,
+        JobRecordWriter jobWriter,
+        Membership membership,
+        Committer committer,
+        Decisions decisions,
+        Supplier<Options> options,
+        Function<Submission, Optional<NeverVerdict>> whyNever,
+        Function<JobRecord, String> whyWaits,
+        Supplier<List<MachineType>> machineTypes) {
+
+    /** Whether a job can ever run here; known once the cloud has told its machine types. */
+    public record NeverVerdict(Optional<String> why) {}
+}
--- a/src/main/java/org/dunespindle/coordination/FormatUpgrade.java
+++ b/src/main/java/org/dunespindle/coordination/FormatUpgrade.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.dunespindle.storage.FormatSupport;
 import org.dunespindle.storage.FormatVersion;
 import org.dunespindle.storage.Keys;
 import org.dunespindle.storage.Replica;
@@ -19,12 +20,12 @@
     private final Membership membership;
     private final Committer committer;
     private final Decisions decisions;
-    private final int newest;
+    private final FormatSupport formats;
     private final List<String> controllers = new ArrayList<>();
 
-    /** Creates the upgrade for a program that reads formats up to the given one. */
-    FormatUpgrade(ControllerContext context, Committer committer, int newest) {
-        this.newest = newest;
+    /** Creates the upgrade for a program that announces and understands the given versions. */
+    FormatUpgrade(ControllerContext context, Committer committer, FormatSupport formats) {
+        this.formats = formats;
         this.replica = context.replica();
         this.membership = context.membership();
         this.decisions = context.decisions();
@@ -35,29 +36,30 @@
 
     /** The newest format version that this program reads. */
     int newest() {
-        return newest;
+        return formats.readable();
     }
 
     /** Whether what is stored is newer than this program understands. */
     boolean tooNew() {
-        return replica.formatVersion() > newest;
+        return replica.formatVersion() > formats.readable();
     }
 
     /** The leader's part. */
     void tick() {
-        boolean raised = replica.formatVersion() >= newest;
+        int announced = formats.announced();
+        boolean raised = replica.formatVersion() >= announced;
         if (raised || committer.isLocked(Keys.FORMAT) || !allAnnounce()) {
             return;
         }
         var txn =
                 new Txn().guard(Keys.FORMAT, replica.stamp(Keys.FORMAT)).guard(Keys.LEADER, replica.stamp(Keys.LEADER));
         controllers.forEach(name -> txn.guard(Keys.member(name), replica.stamp(Keys.member(name))));
-        txn.write(Keys.FORMAT, FormatVersion.record(newest));
-        decisions.tell(LOG, "all controllers read format version {}; it is used from now on", newest);
+        txn.write(Keys.FORMAT, FormatVersion.record(announced));
+        decisions.tell(LOG, "all controllers read format version {}; it is used from now on", announced);
         committer.propose(Committer.Lane.PLACING, txn, r -> {});
     }
 
     private boolean allAnnounce() {
-        return controllers.stream().allMatch(name -> membership.formatVersionOf(name) >= newest);
+        return controllers.stream().allMatch(name -> membership.formatVersionOf(name) >= formats.announced());
     }
 }
--- a/src/main/java/org/dunespindle/coordination/GangQueues.java
+++ b/src/main/java/org/dunespindle/coordination/GangQueues.java
@@ -19,11 +19,14 @@
 
     GangQueues(PlanState state) {
         this.state = state;
+        var visitors = new HashMap<String, JobRecord>();
         for (JobRecord job : state.snapshot().jobs()) {
             if (queues(job)) {
-                heads.merge(job.job().team(), job, (a, b) -> earlier(a, b) ? a : b);
+                Map<String, JobRecord> queue = job.visit().isPresent() ? visitors : heads;
+                queue.merge(job.job().team(), job, (a, b) -> earlier(a, b) ? a : b);
             }
         }
+        visitors.forEach((team, visitor) -> heads.merge(team, visitor, GangQueues::ownOrHigher));
         heads.values().forEach(this::keepLimitFree);
     }
 
@@ -60,6 +63,14 @@
         }
     }
 
+    /** The cell's own gang goes before one from another cell, unless that has a higher priority or is being placed already. */
+    private static JobRecord ownOrHigher(JobRecord own, JobRecord visitor) {
+        boolean placingOwn = own.mode() == JobRecord.Mode.HOLD;
+        boolean placingVisitor = visitor.mode() == JobRecord.Mode.HOLD;
+        boolean higher = visitor.job().priority().compareTo(own.job().priority()) > 0;
+        return placingOwn != placingVisitor ? placingOwn ? own : visitor : higher ? visitor : own;
+    }
+
     /** A gang whose placeholders are being placed stays the head; otherwise arrival order decides. */
     private static boolean earlier(JobRecord one, JobRecord other) {
         boolean placingOne = one.mode() == JobRecord.Mode.HOLD;
--- a/src/main/java/org/dunespindle/coordination/JobOrder.java
+++ b/src/main/java/org/dunespindle/coordination/JobOrder.java
@@ -48,6 +48,7 @@
         // The oldest unfinished jobs are what counts as guaranteed first; those that are late anyway must not push
         // others past their time too.
         ordered.sort(Comparator.comparing((JobRecord job) -> job.job().priority(), Comparator.reverseOrder())
+                .thenComparing(job -> job.visit().isPresent()) // the cell's own work first, among equals
                 .thenComparing(job -> ranks.get(job.id()).tier() == LOST_CAUSE)
                 .thenComparing(job -> !guaranteed.contains(job.id()))
                 .thenComparing(job -> ranks.get(job.id()))
@@ -63,6 +64,7 @@
     boolean equalStanding(JobRecord one, JobRecord other) {
         return one.job().gang() == other.job().gang()
                 && one.job().priority() == other.job().priority()
+                && one.visit().isPresent() == other.visit().isPresent()
                 && guaranteed.contains(one.id()) == guaranteed.contains(other.id())
                 && ranks.get(one.id()).tier() == ranks.get(other.id()).tier();
     }
--- a/src/main/java/org/dunespindle/coordination/Options.java
+++ b/src/main/java/org/dunespindle/coordination/Options.java
@@ -86,9 +86,39 @@
                         false,
                         60,
                         "how long the leader keeps a borrowed machine after the last gang on it"));
+        putFederation(k);
         return k;
     }
 
+    /** Settings of the federation; without it they change nothing. */
+    private static void putFederation(Map<String, Kind> k) {
+        k.put(
+                "spill_after_s",
+                new Kind(
+                        1, 86_400, false, 30, "how long a job waits for room before other cells are asked to take it"));
+        k.put(
+                "recall_after_s",
+                new Kind(
+                        5,
+                        86_400,
+                        false,
+                        60,
+                        "how long a job may wait in another cell, or for its answer, before it is wanted back"));
+        k.put(
+                "spill_pause_s",
+                new Kind(
+                        1,
+                        3600,
+                        false,
+                        30,
+                        "how long a job that came back is not given away again; twice as long after each further time"));
+        k.put(
+                "most_transfers",
+                new Kind(
+                        1, 20, true, 3, "how often a job may be given away before it waits for room at home for good"));
+        k.put("most_visitors", new Kind(0, 10_000, true, 200, "unfinished jobs of other cells that are taken in"));
+    }
+
     /** The options as stored; a stored value that is out of range by now counts as not set. */
     public static Options of(Optional<JsonNode> stored, Duration lease) {
         var set = new LinkedHashMap<String, Double>();
@@ -170,6 +200,31 @@
         return seconds("lent_s");
     }
 
+    /** How long a job waits for room before other cells are asked. */
+    public Duration spillAfter() {
+        return seconds("spill_after_s");
+    }
+
+    /** How long a job may wait in another cell before it is wanted back. */
+    public Duration recallAfter() {
+        return seconds("recall_after_s");
+    }
+
+    /** How long a job that came back for the first time is not given away again. */
+    public Duration spillPause() {
+        return seconds("spill_pause_s");
+    }
+
+    /** How often a job may be given away. */
+    public int mostTransfers() {
+        return (int) value("most_transfers");
+    }
+
+    /** How many unfinished jobs of other cells are taken in. */
+    public int mostVisitors() {
+        return (int) value("most_visitors");
+    }
+
     /** All options with value, range, default and meaning. */
     public ArrayNode describe() {
         ArrayNode list = MessagePackCodec.map().putArray("options");
--- a/src/main/java/org/dunespindle/coordination/UserApi.java
+++ b/src/main/java/org/dunespindle/coordination/UserApi.java
@@ -40,6 +40,7 @@
     private final Timeline timeline;
     private final Supplier<Optional<List<MachineType>>> catalog;
     private final Histogram accepts;
+    private final JobExchange exchange;
     /** What waits longer than its user does is of no use; cancellations may still wait when submissions may not. */
     private final int mostWaiting;
 
@@ -64,7 +65,9 @@
             StateClient state,
             Committer committer,
             Supplier<Optional<List<MachineType>>> catalog,
-            Histogram accepts) {
+            Histogram accepts,
+            JobExchange exchange) {
+        this.exchange = exchange;
         this.settings = context.settings();
         this.replica = context.replica();
         this.jobWriter = context.jobWriter();
@@ -91,16 +94,20 @@
             return;
         }
         // A job that was accepted once is never refused later, whatever the settings say by then.
-        if (replica.job(job.id()).isPresent()) {
+        if (own(job.id()).isPresent()) {
             current(job.id(), answer);
             return;
         }
+        if (replica.job(job.id()).isPresent()) {
+            answer.accept(idTaken(job.id()));
+            return;
+        }
         Optional<List<MachineType>> types = catalog.get();
         if (types.isEmpty()) {
             answer.accept(Answer.later("the machine types are not known yet", SOON));
             return;
         }
-        Optional<String> never = whyNever(job, types.get());
+        Optional<String> never = whyNever(job, types.get(), settings);
         if (never.isPresent()) {
             refuse(job.id(), never.get(), answer);
         } else if (state.failing()) {
@@ -113,7 +120,7 @@
     /** Refuses a job for good, unless another controller has accepted it meanwhile. */
     private void refuse(String id, String why, Consumer<Answer> answer) {
         replica.refresh(
-                () -> answer.accept(replica.job(id).map(UserApi::show).orElseGet(() -> Answer.error(422, why))),
+                () -> answer.accept(own(id).map(this::show).orElseGet(() -> Answer.error(422, why))),
                 () -> answer.accept(out()));
     }
 
@@ -140,15 +147,25 @@
     private void stored(String id, TxnResult result, Consumer<Answer> answer) {
         if (result instanceof TxnResult.Applied) {
             answer.accept(Answer.of(201, MessagePackCodec.map().put("id", id).put("phase", "queued")));
-        } else if (replica.job(id).isPresent() && !(result instanceof TxnResult.Refused)) {
+        } else if (own(id).isPresent() && !(result instanceof TxnResult.Refused)) {
             current(id, answer);
         } else {
             answer.accept(out());
         }
     }
 
+    /** A job that this cell accepted from its user. One that it took in from another cell is known to that cell's users only. */
+    private Optional<JobRecord> own(String id) {
+        return replica.job(id).filter(job -> job.visit().isEmpty());
+    }
+
+    private Answer idTaken(String id) {
+        String home = replica.job(id).flatMap(JobRecord::visit).orElseThrow().home();
+        return Answer.later("the id is in use by a job of cell " + home, LATER);
+    }
+
     /** Why a job can never run, if so. */
-    Optional<String> whyNever(Submission job, List<MachineType> types) {
+    static Optional<String> whyNever(Submission job, List<MachineType> types, Settings settings) {
         Settings.Team team = settings.teams().get(job.team());
         if (team == null) {
             return Optional.of("team " + job.team() + " is unknown");
@@ -200,14 +217,14 @@
 
     /** Answers with the stored state. A final state can be told from the copy: it never changes again. */
     private void current(String id, Consumer<Answer> answer) {
-        Optional<JobRecord> known = replica.job(id);
+        Optional<JobRecord> known = own(id);
         if (known.isPresent() && !known.get().open()) {
             answer.accept(show(known.get()));
         } else if (state.failing()) {
             answer.accept(out());
         } else {
             replica.refresh(
-                    () -> answer.accept(replica.job(id).map(UserApi::show).orElseGet(() -> absent(id))),
+                    () -> answer.accept(own(id).map(this::show).orElseGet(() -> absent(id))),
                     () -> answer.accept(out()));
         }
     }
@@ -231,7 +248,7 @@
         }
         replica.refresh(
                 () -> {
-                    Optional<JobRecord> known = replica.job(id);
+                    Optional<JobRecord> known = own(id);
                     String key = Keys.job(id);
                     if (known.isEmpty()) {
                         answer.accept(absent(id));
@@ -239,6 +256,9 @@
                         answer.accept(show(known.get()));
                     } else if (committer.isLocked(key)) {
                         again(id, until, answer);
+                    } else if (known.get().away()) {
+                        exchange.cancel(
+                                known.get(), outcome -> cancelledElsewhere(known.get(), outcome, until, answer));
                     } else if (committer.waiting(Committer.Lane.USERS) >= 2 * mostWaiting) {
                         answer.accept(Answer.later("more requests wait than can be stored in time", LATER));
                     } else {
@@ -261,6 +281,27 @@
                 () -> answer.accept(out()));
     }
 
+    /** Stores what another cell told of a job that it may have held; its user is told only then. */
+    private void cancelledElsewhere(
+            JobRecord asked, JobExchange.Cancellation outcome, Duration until, Consumer<Answer> answer) {
+        String id = asked.id();
+        if (outcome == JobExchange.Cancellation.UNKNOWN) {
+            answer.accept(Answer.later(
+                    "cell " + asked.delegation().orElseThrow().cell()
+                            + ", which may hold the job, does not confirm that it is cancelled",
+                    LATER));
+            return;
+        }
+        boolean sameTransfer =
+                replica.job(id).filter(now -> now.tie().equals(asked.tie())).isPresent();
+        if (!sameTransfer || committer.isLocked(Keys.job(id))) {
+            again(id, until, answer);
+            return;
+        }
+        JobRecord ended = outcome == JobExchange.Cancellation.DONE ? asked.doneElsewhere() : asked.cancelled();
+        committer.propose(Committer.Lane.USERS, jobWriter.write(new Txn(), ended), result -> again(id, until, answer));
+    }
+
     private void again(String id, Duration until, Consumer<Answer> answer) {
         if (timeline.now().compareTo(until) > 0) {
             answer.accept(out());
@@ -274,22 +315,38 @@
                 "the state service does not answer; the request was not carried out as far as is known", LATER);
     }
 
-    static Answer show(JobRecord j) {
+    private Answer show(JobRecord job) {
+        return show(job, exchange);
+    }
+
+    /** A job's state for its user; what another cell told of it comes with its age. */
+    static Answer show(JobRecord j, JobExchange exchange) {
+        Optional<JobExchange.RemoteProgress> remote = j.away() ? exchange.progress(j) : Optional.empty();
+        return remote.map(progress -> show(j, progress)).orElseGet(() -> showLocal(j));
+    }
+
+    private static Answer show(JobRecord j, JobExchange.RemoteProgress remote) {
+        ObjectNode body = MessagePackCodec.map()
+                .put("id", j.id())
+                .put("phase", remote.begun() ? "running" : "queued")
+                .put("done", remote.done())
+                .put("running", remote.running())
+                .put("cell", remote.cell())
+                .put("ageMs", remote.age().toMillis());
+        return Answer.of(200, remote.failures() > 0 ? body.put("failures", remote.failures()) : body);
+    }
+
+    private static Answer showLocal(JobRecord j) {
         String phase = switch (j.end()) {
             case DONE -> "done";
             case CANCELLED -> "cancelled";
-            case OPEN -> running(j) > 0 ? "running" : "queued";
+            case OPEN -> j.runningCount() > 0 ? "running" : "queued";
         };
         ObjectNode body = MessagePackCodec.map()
                 .put("id", j.id())
                 .put("phase", phase)
                 .put("done", j.doneCount())
-                .put("running", running(j));
+                .put("running", j.runningCount());
         return Answer.of(200, j.failures() > 0 ? body.put("failures", j.failures()) : body);
     }
-
-    private static int running(JobRecord j) {
-        boolean placing = j.spec().isPresent() && j.job().gang() && j.mode() != JobRecord.Mode.REAL;
-        return j.open() && !placing ? j.allocations().size() : 0;
-    }
 }
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/DelegationService.java
@@ -0,0 +1,364 @@
+package org.dunespindle.federation;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.dunespindle.coordination.Committer;
+import org.dunespindle.coordination.ExchangeContext;
+import org.dunespindle.coordination.Options;
+import org.dunespindle.storage.Delegation;
+import org.dunespindle.storage.JobRecord;
+import org.dunespindle.storage.Keys;
+import org.dunespindle.storage.Replica;
+import org.dunespindle.storage.Txn;
+import org.dunespindle.storage.TxnResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Gives jobs away and follows those that are away until they have ended or come home. Each step is decided by
+ * {@link DelegationRules}; this class asks, stores, and asks again. Only the leader offers and recalls. Any controller asks
+ * how jobs stand, for its own users' polls.
+ */
+final class DelegationService {
+    private static final Logger LOG = LoggerFactory.getLogger(DelegationService.class);
+    private static final Duration RESEND = Duration.ofSeconds(2);
+    private static final Duration ASK_EVERY_AS_LEADER = Duration.ofSeconds(1);
+    private static final Duration ASK_EVERY = Duration.ofSeconds(3);
+    /** An end that the leader has not stored by then is stored by whoever knows of it. */
+    private static final Duration LEADER_FIRST = Duration.ofSeconds(5);
+
+    private static final int MOST_PAUSE_DOUBLINGS = 6;
+
+    private final ExchangeContext context;
+    private final Replica replica;
+    private final OwnCellKeeper self;
+    private final KnownCells known;
+    private final Map<String, CellContact> contacts;
+    private final RemoteReports reports = new RemoteReports();
+    private final Map<String, Followed> followed = new HashMap<>();
+    /** Intents whose outcome is not known: they may yet be applied, until their job's record changes. */
+    private final Map<String, Unsettled> unsettled = new HashMap<>();
+
+    private final Map<String, Duration> askedAt = new HashMap<>();
+    private final Map<String, String> contradictions = new HashMap<>();
+
+    private record Unsettled(long transfer, long stamp) {}
+
+    /** A transfer's phase, since when it is known here, and when something was sent about it last. */
+    private static final class Followed {
+        final Delegation delegation;
+        final Duration since;
+        Duration sentAt;
+        boolean sending;
+        Optional<Duration> endKnownAt = Optional.empty();
+
+        Followed(Delegation delegation, Duration since) {
+            this.delegation = delegation;
+            this.since = since;
+            this.sentAt = since.minus(RESEND);
+        }
+    }
+
+    DelegationService(
+            ExchangeContext context, OwnCellKeeper self, KnownCells known, Map<String, CellContact> contacts) {
+        this.context = context;
+        this.replica = context.replica();
+        this.self = self;
+        this.known = known;
+        this.contacts = contacts;
+    }
+
+    private Duration now() {
+        return context.timeline().now();
+    }
+
+    private boolean leads() {
+        return self.mayGiveAway();
+    }
+
+    /** Jobs of this cell that another one may hold. */
+    List<JobRecord> away() {
+        var away = new ArrayList<JobRecord>();
+        for (JobRecord job : replica.livingJobs()) {
+            if (job.away()) {
+                away.add(job);
+            }
+        }
+        return away;
+    }
+
+    /** The number below which all of this cell's transfers have ended for good. */
+    long floor() {
+        unsettled.entrySet().removeIf(entry -> replica.stamp(Keys.job(entry.getKey())) != entry.getValue().stamp);
+        long floor = self.unusedTransfer();
+        for (JobRecord job : away()) {
+            floor = Math.min(floor, job.delegation().orElseThrow().transfer());
+        }
+        for (Unsettled intent : unsettled.values()) {
+            floor = Math.min(floor, intent.transfer);
+        }
+        return floor;
+    }
+
+    /** Takes the next step with every job that is away. */
+    void tick() {
+        List<JobRecord> away = away();
+        Set<String> ids = new HashSet<>();
+        var toAsk = new LinkedHashMap<String, List<JobRecord>>();
+        for (JobRecord job : away) {
+            ids.add(job.id());
+            CellContact contact = contacts.get(job.delegation().orElseThrow().cell());
+            if (contact != null) {
+                follow(job, contact, toAsk);
+            }
+        }
+        followed.keySet().retainAll(ids);
+        contradictions.keySet().retainAll(ids);
+        reports.keepOnly(ids);
+        toAsk.forEach(this::ask);
+    }
+
+    private void follow(JobRecord job, CellContact contact, Map<String, List<JobRecord>> toAsk) {
+        Delegation delegation = job.delegation().orElseThrow();
+        Followed state = followed.get(job.id());
+        if (state == null || !state.delegation.equals(delegation)) {
+            state = new Followed(delegation, now());
+            followed.put(job.id(), state);
+        }
+        DelegationRules.Step step = DelegationRules.next(view(job, delegation, state));
+        contradictions.remove(job.id());
+        if (step instanceof DelegationRules.Step.Contradiction contradiction) {
+            contradict(job, contact, contradiction.what());
+        } else if (step instanceof DelegationRules.Step.StoreDone) {
+            end(job, state, job.doneElsewhere());
+        } else if (step instanceof DelegationRules.Step.StoreCancelled) {
+            end(job, state, job.cancelled());
+        } else if (leads()) {
+            carryOut(step, job, contact, state);
+        }
+        if (!(step instanceof DelegationRules.Step.SendOffer)) {
+            toAsk.computeIfAbsent(contact.name(), name -> new ArrayList<>()).add(job);
+        }
+    }
+
+    private DelegationRules.View view(JobRecord job, Delegation delegation, Followed state) {
+        Options options = context.options().get();
+        return new DelegationRules.View(
+                delegation,
+                reports.of(job).map(told -> told.report().state()),
+                now().minus(state.since),
+                options.recallAfter(),
+                again(delegation, options));
+    }
+
+    /** When a job may be given away again: the pause doubles with every transfer. */
+    private Instant again(Delegation delegation, Options options) {
+        int doublings = Math.min(MOST_PAUSE_DOUBLINGS, delegation.transfers() - 1);
+        return context.timeline().wallTime().plus(options.spillPause().multipliedBy(1L << doublings));
+    }
+
+    private void contradict(JobRecord job, CellContact contact, String what) {
+        contradictions.put(job.id(), what);
+        if (contact.trouble(Optional.of(what))) {
+            context.decisions()
+                    .tell(LOG, "cell {}: {} (job {}); nothing more is offered to it", contact.name(), what, job.id());
+        }
+    }
+
+    private void carryOut(DelegationRules.Step step, JobRecord job, CellContact contact, Followed state) {
+        if (step instanceof DelegationRules.Step.Store store) {
+            store(job, job.tied(store.delegation()));
+        } else if (step instanceof DelegationRules.Step.SendOffer
+                && contact.trouble().isEmpty()) {
+            contact.freshGreeting()
+                    .ifPresent(told -> send(
+                            job,
+                            contact,
+                            state,
+                            new CellRequest.Offer(
+                                    self.id().orElseThrow(), told.self(), transfer(job), job.arrived(), job.job())));
+        } else if (step instanceof DelegationRules.Step.SendRecall) {
+            known.cell(contact.name())
+                    .ifPresent(cell -> send(
+                            job,
+                            contact,
+                            state,
+                            new CellRequest.Recall(
+                                    self.id().orElseThrow(), cell.id().identity(), transfer(job))));
+        }
+    }
+
+    private static Transfer transfer(JobRecord job) {
+        return new Transfer(job.id(), job.delegation().orElseThrow().transfer());
+    }
+
+    private void send(JobRecord job, CellContact contact, Followed state, CellRequest request) {
+        if (state.sending || !contact.free() || now().minus(state.sentAt).compareTo(RESEND) < 0) {
+            return;
+        }
+        state.sending = true;
+        state.sentAt = now();
+        Duration asked = now();
+        contact.call(
+                request,
+                reply -> {
+                    state.sending = false;
+                    answered(job, contact, reply, asked);
+                },
+                () -> state.sending = false);
+    }
+
+    /** Takes in what another cell told of a job, and goes on with it at once. */
+    private void answered(JobRecord job, CellContact contact, CellReply reply, Duration asked) {
+        Delegation.Phase phase = job.delegation().orElseThrow().phase();
+        if (reply instanceof CellReply.Reports told) {
+            told.reports().forEach(report -> reports.take(report, phase, asked));
+        } else if (reply instanceof CellReply.Declined declined) {
+            contact.refused(WorkKind.of(job.job()), declined.refusal());
+            reports.take(VisitReport.of(declined.transfer(), VisitState.WITHDRAWN), phase, asked);
+            context.decisions()
+                    .tell(
+                            LOG,
+                            "job {}: cell {} {}",
+                            job.id(),
+                            contact.name(),
+                            declined.refusal().reason().words());
+        } else if (reply instanceof CellReply.NotServed notServed) {
+            LOG.debug(
+                    "job {}: cell {} {}",
+                    job.id(),
+                    contact.name(),
+                    notServed.reason().words());
+        }
+        replica.job(job.id())
+                .filter(present -> present.tie().equals(job.tie()) && present.open())
+                .ifPresent(present -> follow(present, contact, new HashMap<>()));
+    }
+
+    private void ask(String cell, List<JobRecord> jobs) {
+        CellContact contact = contacts.get(cell);
+        Optional<FederationRecords.KnownCell> stored = known.cell(cell);
+        Duration every = leads() ? ASK_EVERY_AS_LEADER : ASK_EVERY;
+        Duration last = askedAt.getOrDefault(cell, Duration.ofDays(-1));
+        if (stored.isEmpty()
+                || self.id().isEmpty()
+                || !contact.free()
+                || now().minus(last).compareTo(every) < 0) {
+            return;
+        }
+        askedAt.put(cell, now());
+        for (int from = 0; from < jobs.size(); from += CellMessageCodec.MOST_TRANSFERS) {
+            List<JobRecord> some = jobs.subList(from, Math.min(jobs.size(), from + CellMessageCodec.MOST_TRANSFERS));
+            ask(contact, stored.get().id().identity(), some);
+        }
+    }
+
+    private void ask(CellContact contact, String identity, List<JobRecord> jobs) {
+        var phases = new HashMap<Transfer, Delegation.Phase>();
+        jobs.forEach(
+                job -> phases.put(transfer(job), job.delegation().orElseThrow().phase()));
+        Duration asked = now();
+        var request = new CellRequest.Progress(self.id().orElseThrow(), identity, List.copyOf(phases.keySet()));
+        contact.call(
+                request,
+                reply -> {
+                    if (reply instanceof CellReply.Reports told) {
+                        told.reports().stream()
+                                .filter(report -> phases.containsKey(report.transfer()))
+                                .forEach(report -> reports.take(report, phases.get(report.transfer()), asked));
+                    }
+                },
+                () -> {});
+    }
+
+    /** Stores an end that another cell told. The leader does so at once; others only if it does not. */
+    private void end(JobRecord job, Followed state, JobRecord ended) {
+        if (state.endKnownAt.isEmpty()) {
+            state.endKnownAt = Optional.of(now());
+        }
+        boolean late = now().minus(state.endKnownAt.get()).compareTo(LEADER_FIRST) > 0;
+        if (leads() || late) {
+            store(job, ended);
+        }
+    }
+
+    private void store(JobRecord before, JobRecord after) {
+        String key = Keys.job(before.id());
+        if (!context.committer().isLocked(key)) {
+            context.committer()
+                    .propose(Committer.Lane.PLACING, context.jobWriter().write(new Txn(), after), result -> {
+                        if (result instanceof TxnResult.Applied) {
+                            tell(before, after);
+                        }
+                    });
+        }
+    }
+
+    private void tell(JobRecord before, JobRecord after) {
+        Delegation transfer = before.delegation().orElseThrow();
+        if (!after.open()) {
+            context.decisions().tell(LOG, "job {} ended in cell {}: {}", before.id(), transfer.cell(), after.end());
+        } else if (!after.away()) {
+            context.decisions()
+                    .tell(
+                            LOG,
+                            "job {} is back from cell {}, transfer {}",
+                            before.id(),
+                            transfer.cell(),
+                            transfer.transfers());
+        } else {
+            LOG.debug(
+                    "{} in cell {}: {}",
+                    before.id(),
+                    transfer.cell(),
+                    after.delegation().orElseThrow().phase());
+        }
+    }
+
+    /** Stores the intent to offer a job, before anything is said to the other cell. */
+    void give(SpillPolicy.Choice choice) {
+        JobRecord job = choice.job();
+        String key = Keys.job(job.id());
+        OptionalLong number = context.committer().isLocked(key) ? OptionalLong.empty() : self.nextTransfer();
+        if (number.isEmpty() || known.cell(choice.cell()).isEmpty()) {
+            return;
+        }
+        Delegation intent = Delegation.offer(job.delegation(), choice.cell(), number.getAsLong());
+        long stamp = replica.stamp(key);
+        unsettled.put(job.id(), new Unsettled(number.getAsLong(), stamp));
+        Txn txn = self.guarded(context.jobWriter().write(new Txn(), job.tied(intent)));
+        context.committer().propose(Committer.Lane.PLACING, txn, result -> {
+            if (!(result instanceof TxnResult.Unknown)) {
+                unsettled.remove(job.id());
+            }
+            if (result instanceof TxnResult.Applied) {
+                context.decisions()
+                        .tell(LOG, "job {} found no room here and is offered to cell {}", job.id(), choice.cell());
+            }
+        });
+    }
+
+    /** What was told of a job that is away. */
+    Optional<RemoteReports.Told> told(JobRecord job) {
+        return reports.of(job);
+    }
+
+    /** What another cell told of a job that cannot be. */
+    Optional<String> contradiction(String job) {
+        return Optional.ofNullable(contradictions.get(job));
+    }
+
+    /** Takes in what a cancellation was answered. */
+    void heard(JobRecord job, VisitReport report, Duration asked) {
+        reports.take(report, job.delegation().orElseThrow().phase(), asked);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/Federation.java
@@ -0,0 +1,361 @@
+package org.dunespindle.federation;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.dunespindle.coordination.Admin;
+import org.dunespindle.coordination.Committer;
+import org.dunespindle.coordination.ExchangeContext;
+import org.dunespindle.coordination.JobExchange;
+import org.dunespindle.coordination.Options;
+import org.dunespindle.coordination.Planner;
+import org.dunespindle.protocol.Submission;
+import org.dunespindle.storage.Delegation;
+import org.dunespindle.storage.JobRecord;
+import org.dunespindle.storage.Keys;
+import org.dunespindle.storage.Replica;
+import org.dunespindle.storage.Txn;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller's part in a federation of cells: answers other cells, and gives away what finds no room in this one. */
+public final class Federation implements JobExchange {
+    private static final Logger LOG = LoggerFactory.getLogger(Federation.class);
+    private static final Duration TICK = Duration.ofMillis(500);
+    private static final Duration HELLO_EVERY = Duration.ofSeconds(2);
+    /** A plan older than this tells nothing of room. */
+    private static final Duration PLAN_FRESH = Duration.ofSeconds(5);
+    /** A job that a plan found room for this long ago no longer counts as one that waits without a break. */
+    private static final Duration LACK_FORGOTTEN = Duration.ofSeconds(5);
+    /** How long a cell that gave work of a kind away, or took it in, does not do the opposite. */
+    private static final Duration SAME_DIRECTION = Duration.ofSeconds(60);
+
+    private static final int OFFERS_AT_ONCE = 4;
+    private static final int MOST_COMMITS_WAITING = 8;
+
+    private final ExchangeContext context;
+    private final Replica replica;
+    private final FederationSettings settings;
+    private final OwnCellKeeper self;
+    private final KnownCells known;
+    private final Map<String, CellContact> contacts = new LinkedHashMap<>();
+    private final DelegationService delegations;
+    private final VisitorService visitors;
+    private final Abandonment abandonment;
+    private final FederationAdmin admin;
+
+    private Optional<Planned> planned = Optional.empty();
+    private final Map<String, Lack> lacks = new HashMap<>();
+    private final Map<WorkKind, Duration> gaveAway = new HashMap<>();
+    private final Map<WorkKind, Duration> tookIn = new HashMap<>();
+    private final Map<String, Duration> saidHelloAt = new HashMap<>();
+
+    /** The latest plan, surveyed when somebody asks. */
+    private static final class Planned {
+        final Planner.Snapshot snapshot;
+        final Planner.Plan plan;
+        final Duration at;
+        Optional<RoomSurvey> survey = Optional.empty();
+
+        Planned(Planner.Snapshot snapshot, Planner.Plan plan, Duration at) {
+            this.snapshot = snapshot;
+            this.plan = plan;
+            this.at = at;
+        }
+    }
+
+    /** Since when, and until when, the plans found no room for a job. */
+    private record Lack(Duration since, Duration last) {}
+
+    /** Creates a controller's part; nothing is sent before {@link #start}. */
+    public Federation(
+            ExchangeContext context, FederationSettings settings, CellTransport transport, RandomGenerator random) {
+        this.context = context;
+        this.replica = context.replica();
+        this.settings = settings;
+        this.self = new OwnCellKeeper(context, settings.cell(), random);
+        this.known = new KnownCells(replica);
+        settings.cells()
+                .forEach(cell -> contacts.put(cell.name(), new CellContact(cell, transport, context.timeline())));
+        this.delegations = new DelegationService(context, self, known, contacts);
+        this.visitors = new VisitorService(context, settings, self, known, this::admission, this::room);
+        this.abandonment = new Abandonment(context, self, known);
+        this.admin = new FederationAdmin(context, self, known, contacts, delegations);
+    }
+
+    /** Answers another cell's request. */
+    public void handle(CellRequest request, Consumer<CellReply> reply) {
+        visitors.handle(request, reply);
+    }
+
+    @Override
+    public void start() {
+        try {
+            tick();
+        } catch (RuntimeException e) {
+            LOG.error("a round of the federation failed and is repeated", e);
+        }
+        context.timeline().after(TICK, this::start);
+    }
+
+    private void tick() {
+        self.tick();
+        if (!self.formatReady() || self.id().isEmpty()) {
+            return;
+        }
+        delegations.tick();
+        if (!self.mayGiveAway()) {
+            planned = Optional.empty();
+            lacks.clear();
+            return;
+        }
+        List<JobRecord> away = delegations.away();
+        contacts.keySet().forEach(cell -> abandonment.tick(cell, away));
+        contacts.values().forEach(this::sayHello);
+        noteVisitors();
+        giveAway();
+    }
+
+    private Duration now() {
+        return context.timeline().now();
+    }
+
+    private void sayHello(CellContact contact) {
+        boolean abandoned = known.cell(contact.name())
+                .filter(FederationRecords.KnownCell::abandoned)
+                .isPresent();
+        Duration last = saidHelloAt.getOrDefault(contact.name(), HELLO_EVERY.negated());
+        if (abandoned || !contact.free() || now().minus(last).compareTo(HELLO_EVERY) < 0) {
+            return;
+        }
+        Duration asked = now();
+        saidHelloAt.put(contact.name(), asked);
+        contact.call(
+                new CellRequest.Hello(self.id().orElseThrow(), delegations.floor()),
+                reply -> greeted(contact, reply, asked),
+                () -> {});
+    }
+
+    private void greeted(CellContact contact, CellReply reply, Duration asked) {
+        Optional<String> trouble = Optional.empty();
+        if (reply instanceof CellReply.NotServed notServed) {
+            trouble = notServed.reason().needsOperator()
+                    ? Optional.of("it " + notServed.reason().words())
+                    : contact.trouble();
+        } else if (reply instanceof CellReply.Greeting told) {
+            contact.greeted(told, asked);
+            trouble = identityTrouble(contact.name(), told.self());
+            if (trouble.isEmpty() && known.cell(contact.name()).isEmpty() && !known.unreadable(contact.name())) {
+                remember(told.self());
+            }
+        }
+        if (contact.trouble(trouble)) {
+            String what = trouble.map(text -> text + "; nothing more is offered to it")
+                    .orElse("all is well again");
+            context.decisions().tell(LOG, "cell {}: {}", contact.name(), what);
+        }
+    }
+
+    /** What is wrong with a cell's identity, compared with what is stored. */
+    private Optional<String> identityTrouble(String name, CellId told) {
+        if (!told.name().equals(name)) {
+            return Optional.of("a cell named " + told.name() + " answers at its address");
+        }
+        return known.cell(name).map(FederationRecords.KnownCell::id).flatMap(before -> {
+            if (!before.sameCell(told)) {
+                return Optional.of("another cell answers by this name: it was rebuilt empty, or two bear the name");
+            }
+            boolean older = told.incarnation() < before.incarnation()
+                    || told.incarnation() == before.incarnation()
+                            && !told.mark().equals(before.mark());
+            return older ? Optional.of("its state was put back to an older one") : Optional.empty();
+        });
+    }
+
+    /** Stores a cell's identity when it is met first; nothing is offered before. */
+    private void remember(CellId cell) {
+        String key = Keys.cell(cell.name());
+        if (!context.committer().isLocked(key)) {
+            Txn txn = self.guarded(new Txn())
+                    .guard(key, replica.stamp(key))
+                    .write(key, FederationRecords.write(new FederationRecords.KnownCell(cell, 0, false)));
+            context.committer().propose(Committer.Lane.MAINTENANCE, txn, result -> {});
+        }
+    }
+
+    // Room, and who waits for it
+
+    @Override
+    public void planned(Planner.Snapshot snapshot, Planner.Plan plan) {
+        if (!self.mayGiveAway()) {
+            return;
+        }
+        planned = Optional.of(new Planned(snapshot, plan, now()));
+        for (Planner.Shortfall shortfall : plan.shortfalls()) {
+            JobRecord job = shortfall.job();
+            if (SpillPolicy.movable(job)) {
+                lacks.merge(job.id(), new Lack(now(), now()), (before, now) -> new Lack(before.since, now.last));
+            }
+        }
+        lacks.values().removeIf(lack -> now().minus(lack.last).compareTo(LACK_FORGOTTEN) > 0);
+    }
+
+    private Optional<RoomSurvey> survey() {
+        return planned.filter(plan -> now().minus(plan.at).compareTo(PLAN_FRESH) < 0)
+                .map(plan -> {
+                    if (plan.survey.isEmpty()) {
+                        plan.survey = Optional.of(new RoomSurvey(
+                                plan.snapshot, plan.plan, context.machineTypes().get()));
+                    }
+                    return plan.survey.get();
+                });
+    }
+
+    private Optional<List<RoomHint>> room() {
+        return survey().map(RoomSurvey::hints);
+    }
+
+    private Optional<Refusal.Reason> admission(Submission job) {
+        Optional<RoomSurvey> survey = survey();
+        Optional<ExchangeContext.NeverVerdict> never = context.whyNever().apply(job);
+        if (survey.isEmpty() || never.isEmpty()) {
+            return Optional.of(Refusal.Reason.NO_ROOM);
+        }
+        int open = 0;
+        for (JobRecord visitor : replica.visitors()) {
+            open += visitor.open() ? 1 : 0;
+        }
+        Optional<Refusal.Reason> refusal = AdmissionPolicy.refusal(
+                job,
+                new AdmissionPolicy.View(
+                        survey.get(),
+                        never.get().why(),
+                        open,
+                        context.options().get().mostVisitors(),
+                        givesAway()));
+        if (refusal.isEmpty()) {
+            tookIn.put(WorkKind.of(job), now());
+        }
+        return refusal;
+    }
+
+    private List<JobRecord> waitedLong() {
+        Duration patience = context.options().get().spillAfter();
+        var jobs = new ArrayList<JobRecord>();
+        lacks.forEach((id, lack) -> {
+            if (now().minus(lack.since).compareTo(patience) >= 0) {
+                replica.job(id).filter(SpillPolicy::movable).ifPresent(jobs::add);
+            }
+        });
+        return jobs;
+    }
+
+    /** Kinds of work that this cell gives away: what waits for it, what is on its way, and what went a moment ago. */
+    private List<WorkKind> givesAway() {
+        gaveAway.values().removeIf(at -> now().minus(at).compareTo(SAME_DIRECTION) > 0);
+        var kinds = new ArrayList<>(gaveAway.keySet());
+        waitedLong().forEach(job -> kinds.add(WorkKind.of(job.job())));
+        for (JobRecord job : delegations.away()) {
+            if (job.delegation().orElseThrow().phase() != Delegation.Phase.ACCEPTED) {
+                kinds.add(WorkKind.of(job.job()));
+            }
+        }
+        return kinds;
+    }
+
+    private void noteVisitors() {
+        tookIn.values().removeIf(at -> now().minus(at).compareTo(SAME_DIRECTION) > 0);
+        for (JobRecord visitor : replica.visitors()) {
+            if (visitor.open() && visitor.untouched()) {
+                tookIn.put(WorkKind.of(visitor.job()), now());
+            }
+        }
+    }
+
+    private void giveAway() {
+        if (survey().isEmpty() || context.committer().waiting() > MOST_COMMITS_WAITING) {
+            return;
+        }
+        Options options = context.options().get();
+        var view = new SpillPolicy.View(
+                context.timeline().wallTime(),
+                waitedLong(),
+                targets(),
+                List.copyOf(tookIn.keySet()),
+                options.mostTransfers(),
+                OFFERS_AT_ONCE);
+        for (SpillPolicy.Choice choice : SpillPolicy.choose(view)) {
+            gaveAway.put(WorkKind.of(choice.job().job()), now());
+            delegations.give(choice);
+        }
+    }
+
+    private List<SpillPolicy.Target> targets() {
+        var targets = new ArrayList<SpillPolicy.Target>();
+        for (CellContact contact : contacts.values()) {
+            Optional<FederationRecords.KnownCell> cell = known.cell(contact.name());
+            boolean usable = contact.trouble().isEmpty()
+                    && cell.filter(stored -> !stored.abandoned()).isPresent();
+            Optional<List<RoomHint>> room = contact.freshGreeting().flatMap(CellReply.Greeting::room);
+            if (usable && room.isPresent()) {
+                targets.add(new SpillPolicy.Target(
+                        contact.name(),
+                        room.get(),
+                        kind -> contact.refusal(kind).isPresent()));
+            }
+        }
+        return targets;
+    }
+
+    // What users and operators ask
+
+    @Override
+    public void cancel(JobRecord job, Consumer<Cancellation> then) {
+        Delegation delegation = job.delegation().orElseThrow();
+        CellContact contact = contacts.get(delegation.cell());
+        Optional<FederationRecords.KnownCell> cell = known.cell(delegation.cell());
+        if (contact == null || cell.isEmpty() || self.id().isEmpty()) {
+            then.accept(Cancellation.UNKNOWN);
+            return;
+        }
+        Duration asked = now();
+        CancellationCall.start(
+                contact,
+                self.id().get(),
+                cell.get().id().identity(),
+                job,
+                report -> delegations.heard(job, report, asked),
+                then);
+    }
+
+    @Override
+    public Optional<RemoteProgress> progress(JobRecord job) {
+        return delegations.told(job).map(told -> {
+            VisitReport report = told.report();
+            boolean begun = report.state() == VisitState.BEGUN || report.state() == VisitState.DONE;
+            return new RemoteProgress(
+                    job.delegation().orElseThrow().cell(),
+                    begun,
+                    report.done(),
+                    report.running(),
+                    report.failures(),
+                    now().minus(told.asked()));
+        });
+    }
+
+    @Override
+    public Optional<String> whyWaits(JobRecord job) {
+        return admin.whyWaits(job);
+    }
+
+    @Override
+    public boolean administer(String method, String path, byte[] body, Consumer<Admin.Answer> answer) {
+        return admin.handle(method, path, body, answer);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/FederationAdmin.java
@@ -0,0 +1,245 @@
+package org.dunespindle.federation;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.dunespindle.coordination.Admin;
+import org.dunespindle.coordination.Committer;
+import org.dunespindle.coordination.ExchangeContext;
+import org.dunespindle.protocol.MessagePackCodec;
+import org.dunespindle.storage.Delegation;
+import org.dunespindle.storage.JobRecord;
+import org.dunespindle.storage.Keys;
+import org.dunespindle.storage.Replica;
+import org.dunespindle.storage.Txn;
+import org.dunespindle.storage.TxnResult;
+
+/** The federation's part of the administration API: {@code cells}, {@code delegations}, and abandoning a cell. */
+final class FederationAdmin {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String CELLS = "cells";
+    private static final String DELEGATIONS = "delegations";
+    private static final String ABANDON = "/abandon";
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int UNAVAILABLE = 503;
+    private static final String RISK =
+            "jobs given to the cell are placed here again and run twice if it still runs them; its jobs here are cancelled";
+
+    private final ExchangeContext context;
+    private final Replica replica;
+    private final OwnCellKeeper self;
+    private final KnownCells known;
+    private final Map<String, CellContact> contacts;
+    private final DelegationService delegations;
+
+    FederationAdmin(
+            ExchangeContext context,
+            OwnCellKeeper self,
+            KnownCells known,
+            Map<String, CellContact> contacts,
+            DelegationService delegations) {
+        this.context = context;
+        this.replica = context.replica();
+        this.self = self;
+        this.known = known;
+        this.contacts = contacts;
+        this.delegations = delegations;
+    }
+
+    /** Answers a request; false if it concerns something else. */
+    boolean handle(String method, String path, byte[] body, Consumer<Admin.Answer> answer) {
+        boolean read = method.equals("GET") && (path.equals(CELLS) || path.equals(DELEGATIONS));
+        boolean abandon = method.equals("POST") && path.startsWith(CELLS + "/") && path.endsWith(ABANDON);
+        if (read) {
+            replica.refresh(
+                    () -> answer.accept(new Admin.Answer(OK, path.equals(CELLS) ? cells() : delegationList())),
+                    () -> answer.accept(unavailable()));
+        } else if (abandon) {
+            String name = path.substring(CELLS.length() + 1, path.length() - ABANDON.length());
+            replica.refresh(() -> abandon(name, body, answer), () -> answer.accept(unavailable()));
+        }
+        return read || abandon;
+    }
+
+    private static Admin.Answer unavailable() {
+        return Admin.error(UNAVAILABLE, "the state service does not answer");
+    }
+
+    private ObjectNode cells() {
+        ObjectNode node = MessagePackCodec.map();
+        self.id().ifPresent(id -> FederationRecords.putId(node.putObject("self"), id));
+        node.put("takesPart", self.formatReady());
+        var list = node.putArray(CELLS);
+        contacts.values().forEach(contact -> show(contact, list.addObject()));
+        return node;
+    }
+
+    private void show(CellContact contact, ObjectNode node) {
+        node.put("name", contact.name()).put("state", state(contact));
+        contact.silentFor().ifPresent(silence -> node.put("answeredMsAgo", silence.toMillis()));
+        contact.trouble().ifPresent(trouble -> node.put("trouble", trouble));
+        known.cell(contact.name()).ifPresent(cell -> {
+            FederationRecords.putId(node.putObject("stored"), cell.id());
+            node.put("floor", cell.floor()).put("abandoned", cell.abandoned());
+        });
+        contact.lastGreeting().ifPresent(greeting -> {
+            node.put("roomMsOld", contact.age().toMillis());
+            node.put("roomHints", greeting.room().map(java.util.List::size).orElse(0));
+        });
+        node.put("jobsThere", countAway(contact.name())).put("itsJobsHere", countVisitors(contact.name()));
+    }
+
+    private String state(CellContact contact) {
+        if (contact.trouble().isPresent()) {
+            return "needs an operator";
+        }
+        if (known.cell(contact.name())
+                .filter(FederationRecords.KnownCell::abandoned)
+                .isPresent()) {
+            return "being abandoned";
+        }
+        if (contact.silentFor().isEmpty()) {
+            return "not heard of by this controller";
+        }
+        return contact.freshGreeting().isPresent() ? "in contact" : "its leader is not in contact";
+    }
+
+    private long countAway(String cell) {
+        return delegations.away().stream()
+                .filter(job -> job.delegation().orElseThrow().cell().equals(cell))
+                .count();
+    }
+
+    private int countVisitors(String cell) {
+        int count = 0;
+        for (JobRecord job : replica.visitors()) {
+            count += job.open() && job.visit().orElseThrow().home().equals(cell) ? 1 : 0;
+        }
+        return count;
+    }
+
+    private ObjectNode delegationList() {
+        ObjectNode node = MessagePackCodec.map();
+        var away = node.putArray(DELEGATIONS);
+        for (JobRecord job : replica.livingJobs()) {
+            job.delegation().ifPresent(delegation -> show(job, delegation, away.addObject()));
+        }
+        var visitors = node.putArray("visitors");
+        for (JobRecord job : replica.visitors()) {
+            if (job.open()) {
+                visitors.addObject()
+                        .put("job", job.id())
+                        .put("home", job.visit().orElseThrow().home())
+                        .put("transfer", job.visit().get().transfer())
+                        .put("begun", !job.untouched());
+            }
+        }
+        return node;
+    }
+
+    private void show(JobRecord job, Delegation delegation, ObjectNode node) {
+        node.put("job", job.id())
+                .put("team", job.job().team())
+                .put("priority", job.job().priority().wire())
+                .put("cell", delegation.cell())
+                .put("transfer", delegation.transfer())
+                .put("phase", delegation.phase().name().toLowerCase(java.util.Locale.ROOT))
+                .put("transfers", delegation.transfers());
+        delegation.notBefore().ifPresent(time -> node.put("notBefore", time.toString()));
+        delegations
+                .told(job)
+                .ifPresent(told -> node.put("told", told.report().state().name())
+                        .put(
+                                "toldMsAgo",
+                                context.timeline().now().minus(told.asked()).toMillis()));
+        delegations.contradiction(job.id()).ifPresent(what -> node.put("contradiction", what));
+        whyWaits(job).ifPresent(why -> node.put("waits", why));
+    }
+
+    /** Why a job that other cells were asked to take waits. */
+    Optional<String> whyWaits(JobRecord job) {
+        Optional<Delegation> delegation = job.open() ? job.delegation() : Optional.empty();
+        if (delegation.isEmpty()) {
+            return Optional.empty();
+        }
+        Delegation transfer = delegation.get();
+        String cell = "cell " + transfer.cell();
+        Optional<String> wrong = delegations.contradiction(job.id());
+        if (wrong.isPresent()) {
+            return Optional.of(cell + ": " + wrong.get() + "; an operator has to look");
+        }
+        return Optional.of(
+                switch (transfer.phase()) {
+                    case HOME ->
+                        context.whyWaits().apply(job) + "; " + cell + " gave it back (transfer " + transfer.transfers()
+                                + ")"
+                                + transfer.notBefore()
+                                        .map(time -> ", offered again at " + time + " at the earliest")
+                                        .orElse("");
+                    case OFFERED -> cell + " was offered it and has not answered yet";
+                    case RECALLED -> "wanted back from " + cell + ", which has not answered yet";
+                    case ACCEPTED -> accepted(job, cell);
+                });
+    }
+
+    private String accepted(JobRecord job, String cell) {
+        return delegations
+                .told(job)
+                .map(told -> "in " + cell + ": "
+                        + told.report().waits().orElse("all of its tasks are under way there")
+                        + " (told "
+                        + context.timeline().now().minus(told.asked()).toSeconds() + " s ago)")
+                .orElse("in " + cell + ", which has not told yet how it stands");
+    }
+
+    /** Stores that a cell is given up, if the caller names it in the body as well. */
+    private void abandon(String name, byte[] body, Consumer<Admin.Answer> answer) {
+        String key = Keys.cell(name);
+        Optional<FederationRecords.KnownCell> cell = known.cell(name);
+        if (!contacts.containsKey(name) || cell.isEmpty()) {
+            answer.accept(Admin.error(NOT_FOUND, "no such cell, or nothing is known of it"));
+        } else if (!confirmed(name, body)) {
+            answer.accept(new Admin.Answer(
+                    BAD_REQUEST,
+                    MessagePackCodec.map()
+                            .put("error", "not confirmed: send {\"confirm\": \"" + name + "\"}. " + RISK)
+                            .put("jobsThere", countAway(name))
+                            .put("itsJobsHere", countVisitors(name))));
+        } else if (context.committer().isLocked(key)) {
+            answer.accept(Admin.error(CONFLICT, "another change is under way; read again and repeat"));
+        } else {
+            Txn txn = new Txn()
+                    .guard(key, replica.stamp(key))
+                    .write(key, FederationRecords.write(cell.get().abandon()));
+            context.committer()
+                    .propose(
+                            Committer.Lane.USERS,
+                            txn,
+                            result -> answer.accept(
+                                    result instanceof TxnResult.Applied
+                                            ? new Admin.Answer(
+                                                    OK,
+                                                    MessagePackCodec.map()
+                                                            .put("cell", name)
+                                                            .put("abandoned", true)
+                                                            .put("risk", RISK))
+                                            : Admin.error(UNAVAILABLE, "not stored; read again and repeat")));
+        }
+    }
+
+    private static boolean confirmed(String name, byte[] body) {
+        try {
+            JsonNode node = JSON.readTree(body);
+            return node != null && node.path("confirm").asText().equals(name);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/FederationRecords.java
@@ -0,0 +1,84 @@
+package org.dunespindle.federation;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.MessagePackCodec;
+
+/** Reads and writes what is stored about cells. */
+final class FederationRecords {
+    private static final String NAME = "name";
+    private static final String IDENTITY = "identity";
+    private static final String INCARNATION = "incarnation";
+    private static final String MARK = "mark";
+    private static final String LEADER_STAMP = "leader";
+    private static final String FLOOR = "floor";
+    private static final String ABANDONED = "abandoned";
+
+    private FederationRecords() {}
+
+    /**
+     * This cell, as its leader stored it.
+     *
+     * @param leaderStamp the stamp of the leader's key when it did: a newer leader raises the incarnation
+     */
+    record OwnCell(CellId id, long leaderStamp) {}
+
+    /**
+     * Another cell, as it told of itself.
+     *
+     * @param floor its transfers below this number have ended for good
+     * @param abandoned whether an operator has given it up
+     */
+    record KnownCell(CellId id, long floor, boolean abandoned) {
+        KnownCell abandon() {
+            return new KnownCell(id, floor, true);
+        }
+    }
+
+    static ObjectNode write(OwnCell cell) {
+        return putId(MessagePackCodec.map(), cell.id).put(LEADER_STAMP, cell.leaderStamp);
+    }
+
+    static ObjectNode write(KnownCell cell) {
+        return putId(MessagePackCodec.map(), cell.id).put(FLOOR, cell.floor).put(ABANDONED, cell.abandoned);
+    }
+
+    static OwnCell readOwn(JsonNode value) throws MalformedException {
+        return new OwnCell(readId(value), whole(value, LEADER_STAMP));
+    }
+
+    static KnownCell readKnown(JsonNode value) throws MalformedException {
+        return new KnownCell(
+                readId(value), whole(value, FLOOR), value.path(ABANDONED).asBoolean());
+    }
+
+    /** Adds a cell's identity to a stored value or a message. */
+    static ObjectNode putId(ObjectNode into, CellId id) {
+        return into.put(NAME, id.name())
+                .put(IDENTITY, id.identity())
+                .put(INCARNATION, id.incarnation())
+                .put(MARK, id.mark());
+    }
+
+    /** Reads a cell's identity from a stored value or a message. */
+    static CellId readId(JsonNode from) throws MalformedException {
+        return new CellId(text(from, NAME), text(from, IDENTITY), whole(from, INCARNATION), text(from, MARK));
+    }
+
+    static String text(JsonNode node, String field) throws MalformedException {
+        JsonNode value = node.path(field);
+        if (!value.isTextual() || value.textValue().isEmpty()) {
+            throw new MalformedException(field + " must be text");
+        }
+        return value.textValue();
+    }
+
+    static long whole(JsonNode node, String field) throws MalformedException {
+        JsonNode value = node.path(field);
+        if (!value.isIntegralNumber() || !value.canConvertToLong() || value.longValue() < 0) {
+            throw new MalformedException(field + " must be a whole number");
+        }
+        return value.longValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/FederationSettings.java
@@ -0,0 +1,100 @@
+package org.dunespindle.federation;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.dunespindle.protocol.MalformedException;
+
+/**
+ * The table {@code federation} of a features file, checked.
+ *
+ * @param cell this cell's name
+ * @param port where this controller listens for other cells, at the host of its {@code peer_listen}
+ */
+public record FederationSettings(String cell, int port, List<RemoteCell> cells) {
+    private static final String AT = "federation.";
+    private static final String AT_CELLS = "federation.cells.";
+    private static final Set<String> FIELDS = Set.of("enabled", "cell", "port", "cells");
+    private static final Set<String> CELL_FIELDS = Set.of("name", "controllers");
+    private static final String NAME = "[a-z0-9][a-z0-9-]{0,31}";
+    private static final String ADDRESS = "[^:\\s]+:\\d{1,5}";
+    private static final int MOST_PORT = 65_535;
+
+    /**
+     * Another cell.
+     *
+     * @param controllers where each of its controllers listens for other cells, by the controller's name
+     */
+    public record RemoteCell(String name, Map<String, String> controllers) {}
+
+    /** Reads the table; empty if it is missing or switched off. The message of a failure names the field. */
+    public static Optional<FederationSettings> parse(JsonNode table) throws MalformedException {
+        if (table.isMissingNode()) {
+            return Optional.empty();
+        }
+        require(table.isObject(), "federation must be a table");
+        known(table, FIELDS, AT);
+        require(table.path("enabled").isBoolean(), AT + "enabled must be true or false");
+        if (!table.get("enabled").booleanValue()) {
+            return Optional.empty();
+        }
+        String cell = name(table.path("cell"), AT + "cell");
+        JsonNode port = table.path("port");
+        boolean portFits = port.isIntegralNumber() && port.longValue() >= 0 && port.longValue() <= MOST_PORT;
+        require(portFits, AT + "port must be a whole number from 0 to " + MOST_PORT);
+        return Optional.of(new FederationSettings(cell, port.intValue(), cells(table.path("cells"), cell)));
+    }
+
+    private static List<RemoteCell> cells(JsonNode list, String self) throws MalformedException {
+        require(list.isArray() && !list.isEmpty(), AT + "cells must name at least one other cell");
+        var cells = new ArrayList<RemoteCell>();
+        for (JsonNode row : list) {
+            known(row, CELL_FIELDS, AT_CELLS);
+            String name = name(row.path("name"), AT_CELLS + "name");
+            require(!name.equals(self), AT_CELLS + "name " + name + " is this cell's own name");
+            require(
+                    cells.stream().noneMatch(other -> other.name.equals(name)),
+                    AT_CELLS + "name " + name + " occurs twice");
+            cells.add(new RemoteCell(name, controllers(row.path("controllers"))));
+        }
+        return List.copyOf(cells);
+    }
+
+    private static Map<String, String> controllers(JsonNode table) throws MalformedException {
+        require(
+                table.isObject() && !table.isEmpty(),
+                AT_CELLS + "controllers must be a table of controllers' names and addresses");
+        var controllers = new LinkedHashMap<String, String>();
+        for (Map.Entry<String, JsonNode> entry : table.properties()) {
+            String address = entry.getValue().asText();
+            require(
+                    address.matches(ADDRESS),
+                    AT_CELLS + "controllers." + entry.getKey() + " must be address:port, not " + address);
+            controllers.put(entry.getKey(), address);
+        }
+        return java.util.Collections.unmodifiableMap(controllers);
+    }
+
+    private static String name(JsonNode value, String field) throws MalformedException {
+        require(
+                value.isTextual() && value.textValue().matches(NAME),
+                field + " must be 1 to 32 lower-case letters, digits and dashes");
+        return value.textValue();
+    }
+
+    private static void known(JsonNode table, Set<String> fields, String at) throws MalformedException {
+        for (Map.Entry<String, JsonNode> entry : table.properties()) {
+            require(fields.contains(entry.getKey()), at + entry.getKey() + " is unknown");
+        }
+    }
+
+    private static void require(boolean fine, String complaint) throws MalformedException {
+        if (!fine) {
+            throw new MalformedException(complaint);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/KnownCells.java
@@ -0,0 +1,51 @@
+package org.dunespindle.federation;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.storage.Keys;
+import org.dunespindle.storage.Replica;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What is stored of other cells, read once for each version of the record. */
+final class KnownCells {
+    private static final Logger LOG = LoggerFactory.getLogger(KnownCells.class);
+    private final Replica replica;
+    private final Map<String, Read> read = new HashMap<>();
+
+    private record Read(long stamp, Optional<FederationRecords.KnownCell> cell) {}
+
+    KnownCells(Replica replica) {
+        this.replica = replica;
+    }
+
+    /** A cell as stored; empty if it was never heard of, or its record cannot be read. */
+    Optional<FederationRecords.KnownCell> cell(String name) {
+        String key = Keys.cell(name);
+        long stamp = replica.stamp(key);
+        Read known = read.get(name);
+        if (known == null || known.stamp != stamp) {
+            known = new Read(stamp, parse(key));
+            read.put(name, known);
+        }
+        return known.cell;
+    }
+
+    /** Whether there is a record that cannot be read: nobody writes over it. */
+    boolean unreadable(String name) {
+        return replica.value(Keys.cell(name)).isPresent() && cell(name).isEmpty();
+    }
+
+    private Optional<FederationRecords.KnownCell> parse(String key) {
+        return replica.value(key).flatMap(value -> {
+            try {
+                return Optional.of(FederationRecords.readKnown(value));
+            } catch (MalformedException e) {
+                LOG.error("the record {} cannot be read: {}; nothing is exchanged with that cell", key, e.getMessage());
+                return Optional.empty();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/OwnCellKeeper.java
@@ -0,0 +1,135 @@
+package org.dunespindle.federation;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+import org.dunespindle.coordination.Committer;
+import org.dunespindle.coordination.ExchangeContext;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.storage.FormatVersion;
+import org.dunespindle.storage.Keys;
+import org.dunespindle.storage.Replica;
+import org.dunespindle.storage.Txn;
+import org.dunespindle.storage.TxnResult;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * This cell's identity, and the numbers of its transfers. Each leader raises the incarnation before it gives anything away; a
+ * number is built on it, so none is ever used twice, and none of an earlier leader's is higher.
+ */
+final class OwnCellKeeper {
+    private static final Logger LOG = LoggerFactory.getLogger(OwnCellKeeper.class);
+    /** Transfers of one incarnation take so many bits of their number. */
+    private static final int COUNTER_BITS = 20;
+
+    private final ExchangeContext context;
+    private final Replica replica;
+    private final String name;
+    private final RandomGenerator random;
+    private long readAt = -1;
+    private Optional<FederationRecords.OwnCell> read = Optional.empty();
+    private long countedIncarnation;
+    private long counter;
+
+    OwnCellKeeper(ExchangeContext context, String name, RandomGenerator random) {
+        this.context = context;
+        this.replica = context.replica();
+        this.name = name;
+        this.random = random;
+    }
+
+    /** Whether all controllers of this cell understand what the federation stores. */
+    boolean formatReady() {
+        return replica.loaded() && replica.formatVersion() >= FormatVersion.CELL_TIES;
+    }
+
+    /** This cell as stored; empty before it first took part. */
+    Optional<CellId> id() {
+        return stored().map(FederationRecords.OwnCell::id);
+    }
+
+    private Optional<FederationRecords.OwnCell> stored() {
+        long stamp = replica.stamp(Keys.FEDERATION);
+        if (stamp != readAt) {
+            readAt = stamp;
+            read = replica.value(Keys.FEDERATION).flatMap(value -> {
+                try {
+                    return Optional.of(FederationRecords.readOwn(value));
+                } catch (MalformedException e) {
+                    LOG.error(
+                            "the record {} cannot be read: {}; this cell takes no part",
+                            Keys.FEDERATION,
+                            e.getMessage());
+                    return Optional.empty();
+                }
+            });
+        }
+        return read;
+    }
+
+    /** Whether this controller leads, and its incarnation is stored: only then may it give jobs away. */
+    boolean mayGiveAway() {
+        return formatReady()
+                && context.membership().leads()
+                && stored().filter(cell -> cell.leaderStamp() == replica.stamp(Keys.LEADER))
+                        .isPresent()
+                && replica.syncedTo() >= replica.stamp(Keys.FEDERATION);
+    }
+
+    /** The leader's part: stores an incarnation of its own. */
+    void tick() {
+        boolean due = formatReady() && context.membership().leads() && !mayGiveAway();
+        boolean readable =
+                stored().isPresent() || replica.value(Keys.FEDERATION).isEmpty();
+        boolean written = stored().filter(cell -> cell.leaderStamp() == replica.stamp(Keys.LEADER))
+                .isPresent();
+        if (due && readable && !written && !context.committer().isLocked(Keys.FEDERATION)) {
+            raise();
+        }
+    }
+
+    private void raise() {
+        String identity = id().map(CellId::identity).orElseGet(this::draw);
+        long incarnation = id().map(CellId::incarnation).orElse(0L) + 1;
+        var next = new FederationRecords.OwnCell(
+                new CellId(name, identity, incarnation, draw()), replica.stamp(Keys.LEADER));
+        Txn txn = guarded(new Txn()).write(Keys.FEDERATION, FederationRecords.write(next));
+        context.committer().propose(Committer.Lane.PLACING, txn, result -> {
+            if (result instanceof TxnResult.Applied) {
+                context.decisions().tell(LOG, "cell {} is in incarnation {}", name, incarnation);
+            }
+        });
+    }
+
+    /** Guards a change by the leadership and the incarnation under which it was decided. */
+    Txn guarded(Txn txn) {
+        return txn.guard(Keys.FEDERATION, replica.stamp(Keys.FEDERATION))
+                .guard(Keys.LEADER, replica.stamp(Keys.LEADER))
+                .guard(Keys.FORMAT, replica.stamp(Keys.FORMAT));
+    }
+
+    private String draw() {
+        return Long.toHexString(random.nextLong());
+    }
+
+    /** A number for the next transfer; empty if this incarnation has used all of its own. */
+    OptionalLong nextTransfer() {
+        long number = unusedTransfer();
+        if (counter >= 1L << COUNTER_BITS) {
+            return OptionalLong.empty();
+        }
+        counter++;
+        return OptionalLong.of(number);
+    }
+
+    /** The lowest number that has not been used. */
+    long unusedTransfer() {
+        long incarnation = id().orElseThrow().incarnation();
+        if (incarnation != countedIncarnation) {
+            countedIncarnation = incarnation;
+            counter = 0;
+        }
+        return (incarnation << COUNTER_BITS) + counter;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/RoomSurvey.java
@@ -0,0 +1,207 @@
+package org.dunespindle.federation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.dunespindle.coordination.Planner;
+import org.dunespindle.protocol.MachineType;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.protocol.Submission;
+import org.dunespindle.storage.Allocation;
+import org.dunespindle.storage.JobRecord;
+
+/**
+ * What room a plan leaves in a cell: for each priority what is free or held by work that would give way, after what the plan books.
+ * Pure, and made once a plan, for hints to other cells and for deciding whether to take a job of theirs.
+ */
+public final class RoomSurvey {
+    /** Of an array, room for this part of its tasks is enough to begin with. */
+    private static final int ARRAY_PART = 4;
+
+    private final Planner.Snapshot snapshot;
+    private final List<Machine> machines = new ArrayList<>();
+    private final Map<String, Resources> use;
+    private final List<JobRecord> lacking = new ArrayList<>();
+    /** What may be rented, as far as is known: markets that the cloud did not refuse lately. */
+    private final Map<Planner.Market, MachineType> rentable = new LinkedHashMap<>();
+
+    private static final class Machine {
+        final Planner.Host host;
+        Resources free;
+        final Map<Priority, Resources> heldBy = new HashMap<>();
+
+        Machine(Planner.Host host) {
+            this.host = host;
+            this.free = host.size();
+        }
+
+        /** Preemption goes by priority alone, and only tasks of gangs are exempt. */
+        Resources freeFor(Priority priority) {
+            Resources sum = free;
+            for (Map.Entry<Priority, Resources> held : heldBy.entrySet()) {
+                if (held.getKey().compareTo(priority) < 0) {
+                    sum = sum.plus(held.getValue());
+                }
+            }
+            return sum;
+        }
+    }
+
+    /** Surveys a cell by its leader's plan, and by the machine types that its cloud rents out. */
+    public RoomSurvey(Planner.Snapshot snapshot, Planner.Plan plan, List<MachineType> types) {
+        this.snapshot = snapshot;
+        this.use = Planner.use(snapshot.jobs());
+        var byId = new HashMap<String, Machine>();
+        for (Planner.Host host : snapshot.hosts()) {
+            var machine = new Machine(host);
+            machines.add(machine);
+            byId.put(host.id(), machine);
+        }
+        types.forEach(this::addMarkets);
+        snapshot.jobs().forEach(job -> occupy(job, byId));
+        plan.bookings().forEach(booking -> book(booking, byId));
+        var present = new HashMap<String, JobRecord>();
+        snapshot.jobs().forEach(job -> present.put(job.id(), job));
+        plan.shortfalls().stream()
+                .map(shortfall -> present.get(shortfall.job().id()))
+                .filter(job -> job != null && job.open())
+                .forEach(lacking::add);
+    }
+
+    private void addMarkets(MachineType type) {
+        for (String zone : type.zones()) {
+            for (boolean spot : new boolean[] {false, true}) {
+                var market = new Planner.Market(type.name(), zone, spot);
+                if (!snapshot.refused().contains(market)) {
+                    rentable.put(market, type);
+                }
+            }
+        }
+    }
+
+    private void occupy(JobRecord job, Map<String, Machine> byId) {
+        for (Allocation allocation : job.allocations()) {
+            Machine machine = byId.get(allocation.host());
+            boolean ended =
+                    snapshot.ended().contains(new Planner.Ended(job.id(), allocation.task(), allocation.base()));
+            if (machine != null && !ended) {
+                take(machine, job, !job.job().gang());
+            }
+        }
+    }
+
+    private void book(Planner.Booking booking, Map<String, Machine> byId) {
+        for (String host : booking.places().values()) {
+            Machine machine = byId.get(host);
+            if (machine != null) {
+                take(machine, booking.job(), false);
+            }
+        }
+    }
+
+    private static void take(Machine machine, JobRecord job, boolean givesWay) {
+        Resources one = job.job().perTask();
+        machine.free = machine.free.minus(one);
+        if (givesWay) {
+            machine.heldBy.merge(job.job().priority(), one, Resources::plus);
+        }
+    }
+
+    /** The cell's own jobs, and those it took in, that the plan found no room for. */
+    public List<JobRecord> lacking() {
+        return lacking;
+    }
+
+    /** Whether work of a priority, or of a higher one, already waits for machines that work of a kind could use. */
+    public boolean lacks(WorkKind kind, Priority priority) {
+        return lacking.stream()
+                .anyMatch(job -> job.job().priority().compareTo(priority) >= 0
+                        && WorkKind.of(job.job()).overlaps(kind));
+    }
+
+    /** Whether a job finds room, as far as the plan tells, and its team's limit allows it. */
+    public boolean hasRoomFor(Submission job) {
+        int wanted = job.gang() ? job.tasks() : Math.max(1, job.tasks() / ARRAY_PART);
+        Settings.Team team = snapshot.teams().get(job.team());
+        Resources before = use.getOrDefault(job.team(), Resources.NONE);
+        if (team == null || !team.withinLimit(before.plus(job.perTask().times(job.gang() ? wanted : 1)))) {
+            return false;
+        }
+        Map<String, Integer> byZone = tasksByZone(job);
+        if (job.sameZone()) {
+            return byZone.values().stream().anyMatch(tasks -> tasks >= wanted);
+        }
+        int mostInZone = job.spread() ? (job.tasks() + 1) / 2 : job.tasks();
+        return byZone.values().stream()
+                        .mapToInt(tasks -> Math.min(tasks, mostInZone))
+                        .sum()
+                >= wanted;
+    }
+
+    private Map<String, Integer> tasksByZone(Submission job) {
+        var byZone = new TreeMap<String, Integer>();
+        for (Machine machine : machines) {
+            Planner.Host host = machine.host;
+            if (mayUse(job, new Planner.Market(host.type(), host.zone(), host.spot()))) {
+                byZone.merge(host.zone(), fit(job, machine.freeFor(job.priority())), Integer::sum);
+            }
+        }
+        rentable.forEach((market, type) -> {
+            if (mayUse(job, market) && job.perTask().fitsIn(type.size())) {
+                byZone.put(market.zone(), job.tasks());
+            }
+        });
+        return byZone;
+    }
+
+    private static boolean mayUse(Submission job, Planner.Market market) {
+        boolean kind = job.spot() || !market.spot();
+        boolean type = job.types().map(list -> list.contains(market.type())).orElse(true);
+        return kind && type && job.zone().map(market.zone()::equals).orElse(true);
+    }
+
+    private static int fit(Submission job, Resources room) {
+        int tasks = 0;
+        while (tasks < job.tasks() && job.perTask().times(tasks + 1).fitsIn(room)) {
+            tasks++;
+        }
+        return tasks;
+    }
+
+    /** What other cells are told. */
+    public List<RoomHint> hints() {
+        var byMarket = new LinkedHashMap<Planner.Market, List<Machine>>();
+        rentable.keySet().forEach(market -> byMarket.put(market, new ArrayList<>()));
+        for (Machine machine : machines) {
+            Planner.Host host = machine.host;
+            var market = new Planner.Market(host.type(), host.zone(), host.spot());
+            byMarket.computeIfAbsent(market, key -> new ArrayList<>()).add(machine);
+        }
+        var hints = new ArrayList<RoomHint>();
+        byMarket.forEach((market, alike) -> {
+            for (Priority priority : Priority.values()) {
+                hints.add(hint(market, alike, priority));
+            }
+        });
+        return hints;
+    }
+
+    private RoomHint hint(Planner.Market market, List<Machine> alike, Priority priority) {
+        MachineType more = rentable.get(market);
+        Resources sum = Resources.NONE;
+        Resources largest = more == null ? Resources.NONE : more.size();
+        for (Machine machine : alike) {
+            Resources room = machine.freeFor(priority);
+            sum = sum.plus(room);
+            boolean larger =
+                    room.gpus() > largest.gpus() || room.gpus() == largest.gpus() && room.cpus() > largest.cpus();
+            largest = larger ? room : largest;
+        }
+        return new RoomHint(market.type(), market.zone(), market.spot(), priority, sum, largest, more != null);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/SpillPolicy.java
@@ -0,0 +1,122 @@
+package org.dunespindle.federation;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.protocol.Submission;
+import org.dunespindle.storage.Delegation;
+import org.dunespindle.storage.JobRecord;
+
+/** Which waiting jobs are offered to which cells. Pure. */
+public final class SpillPolicy {
+    /** Of an array, room for this part of its tasks is enough to begin with. */
+    private static final int ARRAY_PART = 4;
+
+    private SpillPolicy() {}
+
+    /**
+     * A cell that may be asked.
+     *
+     * @param refuses kinds of work that it refused lately
+     */
+    public record Target(String cell, List<RoomHint> room, Predicate<WorkKind> refuses) {}
+
+    /** A job and the cell that it is offered to. */
+    public record Choice(JobRecord job, String cell) {}
+
+    /**
+     * What the choice rests on.
+     *
+     * @param waiting jobs that have waited long enough for room here
+     * @param takesIn kinds of work that this cell takes in, and so does not give away
+     * @param most how many offers may be made now
+     */
+    public record View(
+            Instant now,
+            List<JobRecord> waiting,
+            List<Target> targets,
+            List<WorkKind> takesIn,
+            int mostTransfers,
+            int most) {}
+
+    /** Whether a job could be given away at all: as a whole, and with no task ever booked. */
+    public static boolean movable(JobRecord job) {
+        return job.open()
+                && job.job().shape() != Shape.SERVICE
+                && job.untouched()
+                && job.visit().isEmpty()
+                && !job.away();
+    }
+
+    /** Whether a job may be given away now, after what became of earlier transfers. */
+    public static boolean due(JobRecord job, Instant now, int mostTransfers) {
+        Optional<Delegation> before = job.delegation();
+        return before.isEmpty()
+                || before.get().transfers() < mostTransfers
+                        && before.get()
+                                .notBefore()
+                                .filter(time -> time.isAfter(now))
+                                .isEmpty();
+    }
+
+    /** Chooses jobs of the highest priority first, and for each the cell that tells of most room for it. */
+    public static List<Choice> choose(View view) {
+        var choices = new ArrayList<Choice>();
+        var promised = new HashMap<String, Integer>();
+        List<JobRecord> ordered = view.waiting.stream()
+                .filter(job -> movable(job) && due(job, view.now, view.mostTransfers))
+                .sorted(Comparator.comparing((JobRecord job) -> job.job().priority(), Comparator.reverseOrder())
+                        .thenComparing(JobRecord::arrived)
+                        .thenComparing(JobRecord::id))
+                .toList();
+        for (JobRecord job : ordered) {
+            WorkKind kind = WorkKind.of(job.job());
+            if (choices.size() < view.most && view.takesIn.stream().noneMatch(kind::overlaps)) {
+                target(job, kind, view.targets, promised).ifPresent(cell -> {
+                    promised.merge(cell, job.job().tasks(), Integer::sum);
+                    choices.add(new Choice(job, cell));
+                });
+            }
+        }
+        return choices;
+    }
+
+    private static Optional<String> target(
+            JobRecord job, WorkKind kind, List<Target> targets, Map<String, Integer> promised) {
+        Submission asked = job.job();
+        int wanted = asked.gang() ? asked.tasks() : Math.max(1, asked.tasks() / ARRAY_PART);
+        String best = null;
+        int bestRoom = 0;
+        for (Target target : targets) {
+            int room = room(asked, target.room) - promised.getOrDefault(target.cell, 0);
+            boolean before = job.delegation()
+                    .filter(last -> last.cell().equals(target.cell))
+                    .isPresent();
+            int rank = before ? 1 : 1 + room; // one that gave it back is asked again only if there is no other
+            if (room >= wanted && !target.refuses.test(kind) && rank > bestRoom) {
+                best = target.cell;
+                bestRoom = rank;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static int room(Submission job, List<RoomHint> hints) {
+        var byZone = new TreeMap<String, Integer>();
+        for (RoomHint hint : hints) {
+            if (hint.concerns(job)) {
+                byZone.merge(hint.zone(), hint.tasks(job), Integer::sum);
+            }
+        }
+        return job.sameZone()
+                ? byZone.values().stream().mapToInt(tasks -> tasks).max().orElse(0)
+                : byZone.values().stream().mapToInt(tasks -> tasks).sum();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/VisitorCleanup.java
@@ -0,0 +1,130 @@
+package org.dunespindle.federation;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.dunespindle.coordination.Committer;
+import org.dunespindle.coordination.ExchangeContext;
+import org.dunespindle.storage.JobRecord;
+import org.dunespindle.storage.Keys;
+import org.dunespindle.storage.Replica;
+import org.dunespindle.storage.Txn;
+import org.dunespindle.storage.Visit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps what is stored of the cells that ask here. A cell tells its floor: the number below which all of its transfers have ended
+ * for good. What is kept of those is dropped, in the same transaction that raises the stored floor; from then on anything late
+ * about them is refused by its number alone.
+ */
+final class VisitorCleanup {
+    private static final Logger LOG = LoggerFactory.getLogger(VisitorCleanup.class);
+    private static final Duration EVERY = Duration.ofSeconds(5);
+
+    private final ExchangeContext context;
+    private final Replica replica;
+    private final OwnCellKeeper self;
+    private final KnownCells known;
+    private final Map<String, Duration> cleanedAt = new HashMap<>();
+
+    VisitorCleanup(ExchangeContext context, OwnCellKeeper self, KnownCells known) {
+        this.context = context;
+        this.replica = context.replica();
+        this.self = self;
+        this.known = known;
+    }
+
+    /** Why a cell is not served for what it is, or for the state that it speaks from. */
+    Optional<CellReply.Reason> objection(CellRequest request) {
+        CellId from = request.from();
+        Optional<FederationRecords.KnownCell> stored = known.cell(from.name());
+        boolean hello = request instanceof CellRequest.Hello;
+        if (stored.isEmpty()) {
+            return hello ? Optional.empty() : Optional.of(CellReply.Reason.NOT_READY);
+        }
+        CellId before = stored.get().id();
+        if (stored.get().abandoned()) {
+            return Optional.of(CellReply.Reason.ABANDONED);
+        }
+        if (!before.sameCell(from)) {
+            return Optional.of(CellReply.Reason.WRONG_IDENTITY);
+        }
+        boolean older = from.incarnation() < before.incarnation()
+                || from.incarnation() == before.incarnation() && !from.mark().equals(before.mark());
+        if (older && (hello || request instanceof CellRequest.Offer)) {
+            return Optional.of(CellReply.Reason.STALE);
+        }
+        return request instanceof CellRequest.Hello greeting
+                ? floorObjection(greeting, stored.get())
+                : Optional.empty();
+    }
+
+    private Optional<CellReply.Reason> floorObjection(CellRequest.Hello hello, FederationRecords.KnownCell stored) {
+        if (hello.floor() < stored.floor()) {
+            return Optional.of(CellReply.Reason.FLOOR_WENT_BACK);
+        }
+        for (JobRecord job : replica.visitors()) {
+            if (job.open() && below(job, hello.from().name(), hello.floor())) {
+                return Optional.of(CellReply.Reason.ENDED_JOBS_RUN);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static boolean below(JobRecord job, String home, long floor) {
+        Visit visit = job.visit().orElseThrow();
+        return visit.home().equals(home) && visit.transfer() < floor;
+    }
+
+    /** The leader's part: notes who asked, and drops what that cell does not need any more. */
+    void heard(CellRequest.Hello hello) {
+        CellId from = hello.from();
+        String key = Keys.cell(from.name());
+        if (context.committer().isLocked(key)) {
+            return;
+        }
+        Optional<FederationRecords.KnownCell> stored = known.cell(from.name());
+        boolean news = stored.filter(cell -> cell.id().equals(from)).isEmpty();
+        List<JobRecord> ended = endedBelow(from.name(), hello.floor());
+        if (!news && (ended.isEmpty() || cleanedLately(from.name()))) {
+            return;
+        }
+        cleanedAt.put(from.name(), context.timeline().now());
+        Txn txn = self.guarded(new Txn())
+                .guard(key, replica.stamp(key))
+                .write(key, FederationRecords.write(new FederationRecords.KnownCell(from, hello.floor(), false)));
+        ended.forEach(job -> remove(txn, job));
+        if (news) {
+            context.decisions().tell(LOG, "cell {} is known in incarnation {}", from.name(), from.incarnation());
+        }
+        context.committer().propose(Committer.Lane.MAINTENANCE, txn, result -> {});
+    }
+
+    private void remove(Txn txn, JobRecord job) {
+        String key = Keys.job(job.id());
+        txn.guard(key, replica.stamp(key)).remove(key);
+    }
+
+    private boolean cleanedLately(String cell) {
+        Duration last = cleanedAt.get(cell);
+        return last != null && context.timeline().now().minus(last).compareTo(EVERY) < 0;
+    }
+
+    /** As many ended visitors as one transaction takes beside the cell's own record. */
+    private List<JobRecord> endedBelow(String home, long floor) {
+        int most = context.settings().state().lowest().txnOps() - 1;
+        var ended = new ArrayList<JobRecord>();
+        for (JobRecord job : replica.visitors()) {
+            boolean over = !job.open() && job.spec().isEmpty();
+            boolean free = !context.committer().isLocked(Keys.job(job.id()));
+            if (ended.size() < most && over && free && below(job, home, floor)) {
+                ended.add(job);
+            }
+        }
+        return ended;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/grpc/CellMethods.java
@@ -0,0 +1,66 @@
+package org.dunespindle.federation.grpc;
+
+import io.grpc.MethodDescriptor;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
+import org.dunespindle.federation.CellRequest;
+
+/** The methods of the service that cells offer one another, a unary one for each kind of request. */
+final class CellMethods {
+    /** The service's name on the wire. */
+    static final String SERVICE = "dunespindle.federation.v1.Cell";
+    /** The longest message that is read or written. */
+    static final int MOST_BYTES = 256 << 10;
+
+    private static final Map<Class<? extends CellRequest>, MethodDescriptor<byte[], byte[]>> BY_KIND = Map.of(
+            CellRequest.Hello.class, method("Hello"),
+            CellRequest.Offer.class, method("Offer"),
+            CellRequest.Recall.class, method("Recall"),
+            CellRequest.Cancel.class, method("Cancel"),
+            CellRequest.Progress.class, method("Progress"));
+
+    private CellMethods() {}
+
+    private static MethodDescriptor<byte[], byte[]> method(String name) {
+        return MethodDescriptor.<byte[], byte[]>newBuilder()
+                .setType(MethodDescriptor.MethodType.UNARY)
+                .setFullMethodName(MethodDescriptor.generateFullMethodName(SERVICE, name))
+                .setRequestMarshaller(new JsonBytes())
+                .setResponseMarshaller(new JsonBytes())
+                .build();
+    }
+
+    static MethodDescriptor<byte[], byte[]> of(CellRequest request) {
+        return BY_KIND.get(request.getClass());
+    }
+
+    /** The kinds of requests. */
+    static Map<Class<? extends CellRequest>, MethodDescriptor<byte[], byte[]>> all() {
+        return BY_KIND;
+    }
+
+    static List<MethodDescriptor<byte[], byte[]>> descriptors() {
+        return List.copyOf(BY_KIND.values());
+    }
+
+    /** JSON text as it is; it is parsed where a bad message can be answered with a status of its own. */
+    private static final class JsonBytes implements MethodDescriptor.Marshaller<byte[]> {
+        @Override
+        public InputStream stream(byte[] value) {
+            return new ByteArrayInputStream(value);
+        }
+
+        @Override
+        public byte[] parse(InputStream stream) {
+            try {
+                return stream.readAllBytes();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dunespindle/federation/grpc/GrpcCellTransport.java
@@ -0,0 +1,104 @@
+package org.dunespindle.federation.grpc;
+
+import io.grpc.CallOptions;
+import io.grpc.ManagedChannel;
+import io.grpc.Status;
+import io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.ClientCalls;
+import io.grpc.stub.StreamObserver;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.dunespindle.federation.CellCallFailure;
+import org.dunespindle.federation.CellMessageCodec;
+import org.dunespindle.federation.CellReply;
+import org.dunespindle.federation.CellRequest;
+import org.dunespindle.federation.CellTransport;
+import org.dunespindle.protocol.MalformedException;
+
+/** Calls controllers of other cells; one connection to each, kept alive. Used on the controller's thread alone. */
+public final class GrpcCellTransport implements CellTransport, AutoCloseable {
+    private static final long KEEP_ALIVE_S = 10;
+    private static final long KEEP_ALIVE_TIMEOUT_S = 5;
+    private static final long IDLE_MINUTES = 5;
+
+    private final EventLoopGroup group;
+    private final Executor controller;
+    private final Map<String, ManagedChannel> channels = new HashMap<>();
+
+    /** Creates a transport whose results arrive by the executor, which is the controller's one thread. */
+    public GrpcCellTransport(EventLoopGroup group, Executor controller) {
+        this.group = group;
+        this.controller = controller;
+    }
+
+    @Override
+    public CompletableFuture<CellReply> call(String address, CellRequest request, Duration deadline) {
+        var result = new CompletableFuture<CellReply>();
+        CallOptions options = CallOptions.DEFAULT
+                .withDeadlineAfter(deadline.toNanos(), TimeUnit.NANOSECONDS)
+                .withMaxInboundMessageSize(CellMethods.MOST_BYTES)
+                .withMaxOutboundMessageSize(CellMethods.MOST_BYTES);
+        var call = channels.computeIfAbsent(address, this::open).newCall(CellMethods.of(request), options);
+        ClientCalls.asyncUnaryCall(call, CellMessageCodec.write(request), new Answer(result));
+        return result;
+    }
+
+    private ManagedChannel open(String address) {
+        int colon = address.lastIndexOf(':');
+        var target = new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        return NettyChannelBuilder.forAddress(target)
+                .eventLoopGroup(group)
+                .channelType(NioSocketChannel.class)
+                .directExecutor()
+                .usePlaintext()
+                .disableRetry()
+                .keepAliveTime(KEEP_ALIVE_S, TimeUnit.SECONDS)
+                .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_S, TimeUnit.SECONDS)
+                .idleTimeout(IDLE_MINUTES, TimeUnit.MINUTES)
+                .maxInboundMessageSize(CellMethods.MOST_BYTES)
+                .build();
+    }
+
+    /** Deadlines fire on a thread of the library's own, so every outcome is handed over. */
+    private final class Answer implements StreamObserver<byte[]> {
+        private final CompletableFuture<CellReply> result;
+
+        Answer(CompletableFuture<CellReply> result) {
+            this.result = result;
+        }
+
+        @Override
+        public void onNext(byte[] body) {
+            controller.execute(() -> {
+                try {
+                    result.complete(CellMessageCodec.readReply(body));
+                } catch (MalformedException e) {
+                    result.completeExceptionally(new CellCallFailure("an answer cannot be read: " + e.getMessage()));
+                }
+            });
+        }
+
+        @Override
+        public void onError(Throwable failure) {
+            String status = Status.fromThrowable(failure).getCode().name();
+            controller.execute(() -> result.completeExceptionally(new CellCallFailure(status)));
+        }
+
+        @Override
+        public void onCompleted() {
+            controller.execute(() -> result.completeExceptionally(new CellCallFailure("no answer")));
+        }
+    }
+
+    @Override
+    public void close() {
+        channels.values().forEach(ManagedChannel::shutdownNow);
+    }
+}
--- a/src/main/java/org/dunespindle/storage/FormatVersion.java
+++ b/src/main/java/org/dunespindle/storage/FormatVersion.java
@@ -14,8 +14,12 @@
     public static final int WHOLE_RECORDS = 1;
     /** Job records that do not fit into one value may be cut into parts. */
     public static final int JOB_PARTS = 2;
-    /** The newest version that this program reads and writes. */
-    public static final int NEWEST = JOB_PARTS;
+    /** Job records may tell of other cells. */
+    public static final int CELL_TIES = 3;
+    /** The newest version that this program reads. */
+    public static final int NEWEST = CELL_TIES;
+    /** The newest version that needs no feature to be switched on. */
+    public static final int WITHOUT_FEATURES = JOB_PARTS;
 
     private static final String FIELD = "version";
 
--- a/src/main/java/org/dunespindle/storage/JobRecord.java
+++ b/src/main/java/org/dunespindle/storage/JobRecord.java
@@ -23,6 +23,7 @@
  * @param generation source of attempts; only grows
  * @param attempt a gang's common attempt, while {@link Mode#REAL}
  * @param order place in the team's queue of gangs: arrival in milliseconds, later after a requeue
+ * @param tie how the job is tied to another cell: given away, or taken in
  */
 public record JobRecord(
         String id,
@@ -37,7 +38,11 @@
         long attempt,
         long order,
         int failures,
-        Optional<Instant> notBefore) {
+        Optional<Instant> notBefore,
+        Optional<CellTie> tie) {
+
+    /** The first value of the source of attempts, which every booking raises. */
+    private static final long FIRST_GENERATION = 1;
 
     /** How a job ended, if it did. */
     public enum End {
@@ -61,7 +66,7 @@
                 Optional.of(spec),
                 now,
                 End.OPEN,
-                1,
+                FIRST_GENERATION,
                 0,
                 List.of(),
                 List.of(),
@@ -69,6 +74,7 @@
                 0,
                 now.toEpochMilli(),
                 0,
+                Optional.empty(),
                 Optional.empty());
     }
 
@@ -77,6 +83,26 @@
         return end == End.OPEN;
     }
 
+    /** How the job stands between this cell, which accepted it from its user, and others. */
+    public Optional<Delegation> delegation() {
+        return tie.filter(Delegation.class::isInstance).map(Delegation.class::cast);
+    }
+
+    /** Whose job it is, if another cell accepted it from its user. */
+    public Optional<Visit> visit() {
+        return tie.filter(Visit.class::isInstance).map(Visit.class::cast);
+    }
+
+    /** Whether another cell may hold the job, so that nothing of it may be placed here. */
+    public boolean away() {
+        return delegation().filter(Delegation::outstanding).isPresent();
+    }
+
+    /** Whether no task of it was ever booked, let alone started. */
+    public boolean untouched() {
+        return generation == FIRST_GENERATION && allocations.isEmpty() && failures == 0;
+    }
+
     /** What the user submitted; only present while the job is open or holds allocations. */
     public Submission job() {
         return spec.orElseThrow();
@@ -90,10 +116,16 @@
         return job().gang() || end != End.OPEN ? 0 : next - again.size() - allocations.size();
     }
 
+    /** Tasks running, for display: a gang's placeholders are none. */
+    public int runningCount() {
+        boolean placing = spec.isPresent() && job().gang() && mode != Mode.REAL;
+        return open() && !placing ? allocations.size() : 0;
+    }
+
     /** Indexes without an allocation and not done, in the order they should start. */
     public IntArrayList unplaced(int most) {
         var list = new IntArrayList();
-        if (!open()) {
+        if (!open() || away()) {
             return list;
         }
         if (job().gang()) {
@@ -122,7 +154,7 @@
 
     /** How many tasks still need a machine. */
     public int unplacedCount() {
-        if (!open()) {
+        if (!open() || away()) {
             return 0;
         }
         if (job().gang()) {
@@ -183,7 +215,8 @@
                 attempt,
                 order,
                 failures,
-                Optional.empty());
+                Optional.empty(),
+                tie);
     }
 
     /** Starts the real tasks of a gang whose placeholders all idle: one common new attempt. */
@@ -201,7 +234,8 @@
                 generation,
                 order,
                 failures,
-                notBefore);
+                notBefore,
+                tie);
     }
 
     /** Books a placeholder again on its machine, after it gave up waiting. */
@@ -271,6 +305,59 @@
                 .compact();
     }
 
+    /** The same job, tied to another cell in another way. */
+    public JobRecord tied(CellTie newTie) {
+        return new JobRecord(
+                id,
+                spec,
+                arrived,
+                end,
+                generation,
+                next,
+                again,
+                allocations,
+                mode,
+                attempt,
+                order,
+                failures,
+                notBefore,
+                Optional.of(newTie));
+    }
+
+    /** A job taken in from another cell keeps the time at which it arrived there. */
+    public static JobRecord visiting(Submission spec, Instant arrived, Visit visit) {
+        return accepted(spec, arrived).tied(visit);
+    }
+
+    /** The cell that holds the job told that all of its tasks are done. */
+    public JobRecord doneElsewhere() {
+        return with(End.DONE, generation, next, again, List.of(), Mode.IDLE, 0).compact();
+    }
+
+    /** Ends a job taken in from another cell before any of its tasks was booked; its own cell may place it again. */
+    public JobRecord withdrawn() {
+        return tied(visit().orElseThrow().withdraw()).cancelled();
+    }
+
+    /** Remembers that a transfer is over before its job ever came: an offer of it that is still under way is refused. */
+    public static JobRecord tombstone(String id, Instant now, Visit visit, boolean cancelled) {
+        return new JobRecord(
+                id,
+                Optional.empty(),
+                now,
+                End.CANCELLED,
+                0,
+                0,
+                List.of(),
+                List.of(),
+                Mode.IDLE,
+                0,
+                0,
+                0,
+                Optional.empty(),
+                Optional.of(cancelled ? visit : visit.withdraw()));
+    }
+
     /** Counts failures and delays the next attempt. */
     public JobRecord failed(int more, Optional<Instant> until) {
         return new JobRecord(
@@ -286,7 +373,8 @@
                 attempt,
                 order,
                 failures + more,
-                until);
+                until,
+                tie);
     }
 
     /** Moves a gang to another place in its team's queue. */
@@ -304,12 +392,13 @@
                 attempt,
                 newOrder,
                 failures,
-                notBefore);
+                notBefore,
+                tie);
     }
 
     private JobRecord with(End e, long g, int n, List<Integer> a, List<Allocation> c, Mode m, long t) {
         return new JobRecord(
-                id, spec, arrived, e, g, n, List.copyOf(a), List.copyOf(c), m, t, order, failures, notBefore);
+                id, spec, arrived, e, g, n, List.copyOf(a), List.copyOf(c), m, t, order, failures, notBefore, tie);
     }
 
     private JobRecord compact() {
@@ -330,7 +419,8 @@
                 0,
                 0,
                 0,
-                Optional.empty());
+                Optional.empty(),
+                tie.filter(Visit.class::isInstance));
     }
 
     /** The stored form as one value. */
--- a/src/main/java/org/dunespindle/storage/JobRecordCodec.java
+++ b/src/main/java/org/dunespindle/storage/JobRecordCodec.java
@@ -51,6 +51,7 @@
         ObjectNode n = MessagePackCodec.map();
         n.put("at", job.arrived().toEpochMilli()).put("end", job.end().name());
         if (job.spec().isEmpty()) {
+            job.tie().ifPresent(tie -> CellTieCodec.put(n, tie));
             return n.put("next", job.next());
         }
         n.set(SUBMISSION, job.job().toNode());
@@ -68,6 +69,7 @@
                 .put("order", job.order())
                 .put("fails", job.failures());
         job.notBefore().ifPresent(t -> n.put("wait", t.toEpochMilli()));
+        job.tie().ifPresent(tie -> CellTieCodec.put(n, tie));
     }
 
     private static String again(JobRecord job) {
@@ -170,7 +172,7 @@
         }
     }
 
-    private static JobRecord finished(String id, JsonNode n) {
+    private static JobRecord finished(String id, JsonNode n) throws MalformedException {
         return new JobRecord(
                 id,
                 Optional.empty(),
@@ -184,10 +186,12 @@
                 0,
                 0,
                 0,
-                Optional.empty());
+                Optional.empty(),
+                CellTieCodec.read(n));
     }
 
-    private static JobRecord open(String id, JsonNode n, Submission spec, String again, List<Allocation> allocations) {
+    private static JobRecord open(String id, JsonNode n, Submission spec, String again, List<Allocation> allocations)
+            throws MalformedException {
         Optional<Instant> wait =
                 n.has("wait") ? Optional.of(Instant.ofEpochMilli(n.get("wait").longValue())) : Optional.empty();
         return new JobRecord(
@@ -203,7 +207,8 @@
                 n.path("try").longValue(),
                 n.path("order").longValue(),
                 n.path("fails").intValue(),
-                wait);
+                wait,
+                CellTieCodec.read(n));
     }
 
     private static Instant arrived(JsonNode n) {
--- a/src/main/java/org/dunespindle/storage/Keys.java
+++ b/src/main/java/org/dunespindle/storage/Keys.java
@@ -17,6 +17,11 @@
     /** Parts of jobs' records that do not fit into one value. */
     public static final String PART = ROOT + "part/";
 
+    /** This cell's identity among others. */
+    public static final String FEDERATION = ROOT + "federation";
+    /** What is known of other cells. */
+    public static final String CELL = ROOT + "cell/";
+
     private Keys() {}
 
     /** The key of a job's record. */
@@ -44,6 +49,11 @@
         return TEAM + name;
     }
 
+    /** The key of what is known of another cell. */
+    public static String cell(String name) {
+        return CELL + name;
+    }
+
     /** The key of a controller's membership. */
     public static String member(String node) {
         return MEMBER + node;
--- a/src/main/java/org/dunespindle/storage/Replica.java
+++ b/src/main/java/org/dunespindle/storage/Replica.java
@@ -41,6 +41,9 @@
     private final Runnable changed;
     private final Map<String, JobRecord> jobs = new HashMap<>();
     private final Map<String, JobRecord> openJobs = new LinkedHashMap<>();
+    /** Jobs of other cells, ended ones included. */
+    private final Map<String, JobRecord> visitors = new LinkedHashMap<>();
+
     private final Map<String, MachineRecord> hosts = new TreeMap<>();
     private final Map<String, JsonNode> members = new TreeMap<>();
     private final Map<String, JsonNode> plain = new HashMap<>();
@@ -123,6 +126,11 @@
         return openJobs.values();
     }
 
+    /** Jobs of other cells that were taken in, or refused: also ended ones, until their own cell has noted that. */
+    public Iterable<JobRecord> visitors() {
+        return visitors.values();
+    }
+
     /** All machines by id. */
     public Map<String, MachineRecord> hosts() {
         return hosts;
@@ -385,6 +393,7 @@
     private void replaceAll(List<StateMessages.Entry> entries) {
         jobs.clear();
         openJobs.clear();
+        visitors.clear();
         touched.addAll(hosts.keySet());
         hosts.clear();
         pages.clear();
@@ -510,6 +519,11 @@
         } else {
             openJobs.remove(id);
         }
+        if (job.flatMap(JobRecord::visit).isPresent()) {
+            visitors.put(id, job.get());
+        } else if (!visitors.isEmpty()) {
+            visitors.remove(id);
+        }
         index(id, before, job);
     }
 
--- /dev/null
+++ b/src/test/java/org/dunespindle/federation/AdmissionTest.java
@@ -0,0 +1,173 @@
+package org.dunespindle.federation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.dunespindle.coordination.Planner;
+import org.dunespindle.coordination.Targets;
+import org.dunespindle.protocol.MachineType;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Settings;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.protocol.Submission;
+import org.dunespindle.storage.JobRecord;
+import org.dunespindle.storage.Visit;
+import org.junit.jupiter.api.Test;
+
+/** What a cell tells of its room, and which jobs of other cells it takes. */
+class AdmissionTest {
+    private static final Resources SIZE = new Resources(4, 4, 4);
+    private static final MachineType BOX =
+            new MachineType("box", SIZE, 50, 1, 10, 4, Duration.ofSeconds(30), List.of("east", "west"));
+    private static final Set<Planner.Market> ALL_REFUSED = Set.of(
+            new Planner.Market("box", "east", false),
+            new Planner.Market("box", "east", true),
+            new Planner.Market("box", "west", false),
+            new Planner.Market("box", "west", true));
+
+    private static Planner.Host host(String id, String zone) {
+        return new Planner.Host(id, "box", zone, false, SIZE, true, true, Set.of());
+    }
+
+    private static RoomSurvey survey(List<JobRecord> jobs, Set<Planner.Market> refused) {
+        var red = new Settings.Team("red", 0, Double.POSITIVE_INFINITY, 4, 10);
+        var snapshot = new Planner.Snapshot(
+                Instant.EPOCH,
+                jobs,
+                List.of(host("i-1", "east"), host("i-2", "west")),
+                Map.of("red", red),
+                Map.of(),
+                refused,
+                job -> 1000,
+                Set.of(),
+                Set.of(),
+                true,
+                Set.of(),
+                List.of(),
+                new Targets(List.of()),
+                started -> Duration.ZERO);
+        return new RoomSurvey(snapshot, Planner.plan(snapshot), List.of(BOX));
+    }
+
+    private static JobRecord running(String id, Shape shape, Priority priority, String host, int tasks) {
+        var places = new java.util.LinkedHashMap<Integer, String>();
+        for (int task = 0; task < tasks; task++) {
+            places.put(task, host);
+        }
+        Submission job = TestJobs.of(id, shape, priority, tasks, Optional.empty(), false);
+        return JobRecord.accepted(job, Instant.EPOCH).placed(places);
+    }
+
+    private static Optional<Refusal.Reason> refusal(RoomSurvey survey, Submission job, int visitors) {
+        return AdmissionPolicy.refusal(job, new AdmissionPolicy.View(survey, Optional.empty(), visitors, 5, List.of()));
+    }
+
+    @Test
+    void roomIsWhatIsFreeOrHeldByLowerWork() {
+        JobRecord low = running("wk-000001", Shape.ARRAY, Priority.LOW, "i-1", 4);
+        JobRecord gang = running("wk-000002", Shape.GANG, Priority.LOW, "i-2", 3);
+        RoomSurvey survey = survey(List.of(low, gang), ALL_REFUSED);
+        assertEquals(Optional.empty(), refusal(survey, TestJobs.gang("wk-000003", Priority.URGENT, 3, false), 0));
+        // The team's limit is 10, seven are in use, and gangs do not give way.
+        assertEquals(
+                Optional.of(Refusal.Reason.NO_ROOM),
+                refusal(survey, TestJobs.gang("wk-000003", Priority.URGENT, 4, false), 0));
+        assertEquals(
+                Optional.of(Refusal.Reason.NO_ROOM),
+                refusal(survey, TestJobs.gang("wk-000003", Priority.LOW, 2, false), 0));
+        assertEquals(
+                Optional.of(Refusal.Reason.NO_ROOM),
+                refusal(survey, TestJobs.gang("wk-000003", Priority.NORMAL, 5, true), 0));
+    }
+
+    @Test
+    void machinesThatMayBeRentedAreRoom() {
+        JobRecord low = running("wk-000001", Shape.ARRAY, Priority.CRITICAL, "i-1", 4);
+        Submission job = TestJobs.gang("wk-000003", Priority.URGENT, 6, true);
+        assertEquals(Optional.of(Refusal.Reason.NO_ROOM), refusal(survey(List.of(low), ALL_REFUSED), job, 0));
+        assertEquals(Optional.empty(), refusal(survey(List.of(low), Set.of()), job, 0));
+    }
+
+    @Test
+    void ownWorkOfTheSamePriorityThatWaitsGoesFirst() {
+        JobRecord full = running("wk-000001", Shape.GANG, Priority.CRITICAL, "i-1", 4);
+        JobRecord waits = JobRecord.accepted(TestJobs.gang("wk-000002", Priority.URGENT, 6, false), Instant.EPOCH);
+        RoomSurvey survey = survey(List.of(full, waits), ALL_REFUSED);
+        assertEquals(
+                List.of("wk-000002"),
+                survey.lacking().stream().map(JobRecord::id).toList());
+        assertEquals(
+                Optional.of(Refusal.Reason.NO_ROOM),
+                refusal(survey, TestJobs.gang("wk-000003", Priority.URGENT, 1, false), 0));
+    }
+
+    @Test
+    void eachRefusalNamesItsReason() {
+        RoomSurvey survey = survey(List.of(), Set.of());
+        Submission job = TestJobs.array("wk-000003", 2);
+        assertEquals(Optional.of(Refusal.Reason.TOO_MANY_VISITORS), refusal(survey, job, 5));
+        var never = new AdmissionPolicy.View(survey, Optional.of("team red is unknown"), 0, 5, List.of());
+        assertEquals(Optional.of(Refusal.Reason.NEVER_FITS), AdmissionPolicy.refusal(job, never));
+        var gives = new AdmissionPolicy.View(survey, Optional.empty(), 0, 5, List.of(WorkKind.of(job)));
+        assertEquals(Optional.of(Refusal.Reason.GIVES_AWAY), AdmissionPolicy.refusal(job, gives));
+    }
+
+    @Test
+    void hintsTellRoomByPriority() {
+        JobRecord low = running("wk-000001", Shape.ARRAY, Priority.LOW, "i-1", 3);
+        List<RoomHint> hints = survey(List.of(low), ALL_REFUSED).hints();
+        assertEquals(1, tasks(hints, "east", Priority.LOW));
+        assertEquals(4, tasks(hints, "east", Priority.NORMAL));
+        assertEquals(4, tasks(hints, "west", Priority.LOW));
+    }
+
+    private static int tasks(List<RoomHint> hints, String zone, Priority priority) {
+        Submission job = TestJobs.of("wk-000009", Shape.ARRAY, priority, 50, Optional.empty(), false);
+        return hints.stream()
+                .filter(hint -> hint.zone().equals(zone) && hint.concerns(job))
+                .mapToInt(hint -> hint.tasks(job))
+                .sum();
+    }
+
+    /** Where all ask for the same room, the order in which the plan books tells who goes first. */
+    @Test
+    void visitorsKeepTheirPriorityButOwnWorkOfTheSameGoesFirst() {
+        Instant early = Instant.EPOCH;
+        Instant late = Instant.EPOCH.plusSeconds(60);
+        JobRecord visitor =
+                JobRecord.visiting(TestJobs.gang("wk-000001", Priority.URGENT, 8, false), early, Visit.of("a", 1));
+        JobRecord own = JobRecord.accepted(TestJobs.gang("wk-000002", Priority.URGENT, 8, false), late);
+        JobRecord ownLow = JobRecord.accepted(TestJobs.gang("wk-000003", Priority.LOW, 8, false), early);
+        assertEquals(List.of("wk-000002"), placed(List.of(visitor, own)));
+        assertEquals(List.of("wk-000001"), placed(List.of(visitor, ownLow)));
+    }
+
+    private static List<String> placed(List<JobRecord> jobs) {
+        var red = new Settings.Team("red", 0, Double.POSITIVE_INFINITY, 4, 100);
+        var snapshot = new Planner.Snapshot(
+                Instant.EPOCH.plusSeconds(70),
+                jobs,
+                List.of(host("i-1", "east"), host("i-2", "west")),
+                Map.of("red", red),
+                Map.of(),
+                ALL_REFUSED,
+                job -> 1000,
+                Set.of(),
+                Set.of(),
+                true,
+                Set.of(),
+                List.of(),
+                new Targets(List.of()),
+                started -> Duration.ZERO);
+        Planner.Plan plan = Planner.plan(snapshot);
+        assertTrue(plan.bookings().size() <= 1);
+        return plan.bookings().stream().map(booking -> booking.job().id()).toList();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dunespindle/federation/CellMessageCodecTest.java
@@ -0,0 +1,150 @@
+package org.dunespindle.federation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.junit.jupiter.api.Test;
+
+/** Messages between cells survive their way, and bad ones are refused. */
+class CellMessageCodecTest {
+    private static CellId cell(Random random, String name) {
+        return new CellId(
+                name,
+                Long.toHexString(random.nextLong()),
+                random.nextInt(1 << 30),
+                Long.toHexString(random.nextLong()));
+    }
+
+    private static Transfer transfer(Random random) {
+        return new Transfer("wk-%06d".formatted(random.nextInt(1_000_000)), random.nextLong() >>> 1);
+    }
+
+    private static CellRequest request(Random random) {
+        CellId from = cell(random, "a");
+        Transfer transfer = transfer(random);
+        return switch (random.nextInt(5)) {
+            case 0 -> new CellRequest.Hello(from, random.nextLong() >>> 1);
+            case 1 ->
+                new CellRequest.Offer(
+                        from,
+                        cell(random, "b"),
+                        transfer,
+                        Instant.ofEpochMilli(random.nextLong() >>> 20),
+                        TestJobs.array(transfer.job(), 1 + random.nextInt(1000)));
+            case 2 -> new CellRequest.Recall(from, "id", transfer);
+            case 3 -> new CellRequest.Cancel(from, "id", transfer);
+            default -> new CellRequest.Progress(from, "id", List.of(transfer, transfer(random)));
+        };
+    }
+
+    private static CellReply reply(Random random) {
+        return switch (random.nextInt(4)) {
+            case 0 ->
+                new CellReply.Greeting(
+                        cell(random, "b"),
+                        random.nextBoolean(),
+                        random.nextBoolean() ? Optional.empty() : Optional.of("spindle-1"),
+                        random.nextBoolean() ? Optional.empty() : Optional.of(hints(random)));
+            case 1 -> new CellReply.Reports(reports(random));
+            case 2 -> {
+                Refusal.Reason reason = Refusal.Reason.values()[random.nextInt(Refusal.Reason.values().length)];
+                yield new CellReply.Declined(
+                        transfer(random), new Refusal(reason, Duration.ofMillis(random.nextInt(100_000))));
+            }
+            default ->
+                new CellReply.NotServed(
+                        CellReply.Reason.values()[random.nextInt(CellReply.Reason.values().length)],
+                        random.nextBoolean() ? Optional.empty() : Optional.of("spindle-2"));
+        };
+    }
+
+    private static List<RoomHint> hints(Random random) {
+        var hints = new ArrayList<RoomHint>();
+        for (int i = random.nextInt(5); i > 0; i--) {
+            hints.add(new RoomHint(
+                    "type" + i,
+                    "zone",
+                    random.nextBoolean(),
+                    Priority.values()[random.nextInt(4)],
+                    new Resources(random.nextDouble() * 100, random.nextInt(9), 2.5),
+                    new Resources(1, 2, 3),
+                    random.nextBoolean()));
+        }
+        return hints;
+    }
+
+    private static List<VisitReport> reports(Random random) {
+        var reports = new ArrayList<VisitReport>();
+        for (int i = random.nextInt(5); i > 0; i--) {
+            reports.add(new VisitReport(
+                    transfer(random),
+                    VisitState.values()[random.nextInt(VisitState.values().length)],
+                    random.nextInt(100),
+                    random.nextInt(100),
+                    random.nextInt(3),
+                    random.nextBoolean() ? Optional.empty() : Optional.of("no room \u00e9")));
+        }
+        return reports;
+    }
+
+    @Property(seed = "41", tries = 500)
+    void messagesSurvive(@ForAll long seed) throws MalformedException {
+        var random = new Random(seed);
+        CellRequest request = request(random);
+        assertEquals(request, CellMessageCodec.readRequest(CellMessageCodec.write(request)));
+        CellReply reply = reply(random);
+        assertEquals(reply, CellMessageCodec.readReply(CellMessageCodec.write(reply)));
+    }
+
+    @Property(seed = "42", tries = 1000)
+    void whatIsCutOrGarbledIsRefusedOrUnderstoodButNeverCrashes(@ForAll long seed) {
+        var random = new Random(seed);
+        byte[] body = CellMessageCodec.write(request(random));
+        for (int i = 1 + random.nextInt(3); i > 0; i--) {
+            body[random.nextInt(body.length)] = (byte) random.nextInt(256);
+        }
+        byte[] cut = java.util.Arrays.copyOf(body, random.nextInt(body.length));
+        assertThrows(MalformedException.class, () -> CellMessageCodec.readRequest(cut));
+        try {
+            CellMessageCodec.readRequest(body);
+        } catch (MalformedException e) {
+            assertTrue(!e.getMessage().isEmpty() && e.getMessage().length() < 200, e.getMessage());
+        }
+    }
+
+    private static void refused(String text, String complaint) {
+        var failure = assertThrows(
+                MalformedException.class, () -> CellMessageCodec.readRequest(text.getBytes(StandardCharsets.UTF_8)));
+        assertTrue(failure.getMessage().contains(complaint), failure.getMessage());
+    }
+
+    @Test
+    void complaintsNameTheField() {
+        String from = "\"from\":{\"name\":\"a\",\"identity\":\"i\",\"incarnation\":1,\"mark\":\"m\"}";
+        refused("[]", "not a JSON object");
+        refused("{", "not JSON");
+        refused("{}", "name must be text");
+        refused("{" + from + "}", "kind must be text");
+        refused("{" + from + ",\"kind\":\"party\"}", "kind is unknown");
+        refused("{" + from + ",\"kind\":\"hello\",\"floor\":-1}", "floor must be a whole number");
+        refused(
+                "{" + from + ",\"kind\":\"recall\",\"to\":\"x\",\"job\":\"../etc\",\"number\":1}",
+                "job must look like");
+        refused("{" + from + ",\"kind\":\"offer\",\"to\":{},\"job\":\"wk-000001\",\"number\":1}", "not a map");
+        String list = "[" + "{},".repeat(CellMessageCodec.MOST_TRANSFERS) + "{}]";
+        refused("{" + from + ",\"kind\":\"progress\",\"to\":\"x\",\"transfers\":" + list + "}", "list of at most");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dunespindle/federation/DelegationProtocolTest.java
@@ -0,0 +1,309 @@
+package org.dunespindle.federation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.dunespindle.storage.Delegation;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The hand-off of one job as a state machine: its own cell by {@link DelegationRules}, the other cell as its specification, and
+ * between them messages in any order, any number of times, or never.
+ */
+class DelegationProtocolTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(60);
+    private static final int STEPS = 400;
+    private static final int MOST_TRANSFERS = 4;
+
+    private sealed interface Message {
+        record Offer(long number) implements Message {}
+
+        record Recall(long number) implements Message {}
+
+        record Ask(long number) implements Message {}
+
+        record Told(long number, VisitState state, Delegation.Phase askedIn) implements Message {}
+    }
+
+    /** The other cell, as specified: one record for the job, replaced only by that of a higher transfer. */
+    private static final class Receiver {
+        long number;
+        VisitState state = VisitState.UNKNOWN;
+
+        VisitState told(long asked) {
+            return asked == number ? state : asked < number ? VisitState.CLOSED : VisitState.UNKNOWN;
+        }
+
+        VisitState offer(long offered, boolean room) {
+            boolean free = state == VisitState.UNKNOWN || state == VisitState.WITHDRAWN;
+            if (offered > number && free) {
+                number = offered;
+                state = room ? VisitState.QUEUED : VisitState.WITHDRAWN;
+            }
+            return told(offered);
+        }
+
+        VisitState recall(long recalled) {
+            if (recalled > number || recalled == number && state == VisitState.QUEUED) {
+                number = recalled;
+                state = VisitState.WITHDRAWN;
+            }
+            return told(recalled);
+        }
+    }
+
+    /** A world of two cells; fields are what is stored. */
+    private static final class World {
+        final Random random;
+        final Receiver receiver = new Receiver();
+        final List<Message> network = new ArrayList<>();
+        Optional<Delegation> home = Optional.empty();
+        VisitState told = VisitState.UNKNOWN;
+        long toldOf;
+        long numbers;
+        boolean placedAtHome;
+        boolean overAtHome;
+        int runs;
+
+        World(long seed) {
+            random = new Random(seed);
+        }
+
+        void step() {
+            switch (random.nextInt(6)) {
+                case 0 -> give();
+                case 1 -> drive();
+                case 2, 3 -> deliver();
+                case 4 -> work();
+                default -> placeAtHome();
+            }
+        }
+
+        private boolean away() {
+            return home.filter(Delegation::outstanding).isPresent();
+        }
+
+        private void give() {
+            boolean may = home.map(Delegation::transfers).orElse(0) < MOST_TRANSFERS;
+            if (!placedAtHome && !overAtHome && !away() && may) {
+                home = Optional.of(Delegation.offer(home, "b", ++numbers));
+            }
+        }
+
+        private void placeAtHome() {
+            if (!away() && !overAtHome && !placedAtHome && random.nextInt(6) == 0) {
+                placedAtHome = true;
+                runs++;
+                assertNotEquals(VisitState.QUEUED, receiver.state, "placed in both cells");
+                assertNotEquals(VisitState.BEGUN, receiver.state, "placed in both cells");
+            }
+        }
+
+        private void drive() {
+            if (!away() || overAtHome) {
+                return;
+            }
+            Delegation now = home.orElseThrow();
+            Optional<VisitState> heard =
+                    toldOf == now.transfer() && told != VisitState.UNKNOWN ? Optional.of(told) : Optional.empty();
+            Duration waited = random.nextInt(4) == 0 ? PATIENCE.multipliedBy(2) : Duration.ZERO;
+            var view = new DelegationRules.View(now, heard, waited, PATIENCE, Instant.EPOCH);
+            DelegationRules.Step step = DelegationRules.next(view);
+            if (step instanceof DelegationRules.Step.SendOffer) {
+                network.add(new Message.Offer(now.transfer()));
+            } else if (step instanceof DelegationRules.Step.SendRecall) {
+                network.add(new Message.Recall(now.transfer()));
+            } else if (step instanceof DelegationRules.Step.Ask) {
+                network.add(new Message.Ask(now.transfer()));
+            } else if (step instanceof DelegationRules.Step.Store store) {
+                home = Optional.of(store.delegation());
+            } else if (step instanceof DelegationRules.Step.StoreDone) {
+                assertEquals(VisitState.DONE, receiver.state);
+                overAtHome = true;
+            } else {
+                throw new AssertionError("unexpected " + step);
+            }
+        }
+
+        /** Any message of those ever sent; most stay, and come again. */
+        private void deliver() {
+            if (network.isEmpty()) {
+                return;
+            }
+            int index = random.nextInt(network.size());
+            Message message = random.nextInt(3) == 0 ? network.remove(index) : network.get(index);
+            Delegation.Phase phase = home.map(Delegation::phase).orElse(Delegation.Phase.HOME);
+            if (message instanceof Message.Offer offer) {
+                VisitState state = receiver.offer(offer.number, random.nextInt(3) > 0);
+                network.add(new Message.Told(offer.number, state, phase));
+            } else if (message instanceof Message.Recall recall) {
+                network.add(new Message.Told(recall.number, receiver.recall(recall.number), phase));
+            } else if (message instanceof Message.Ask ask) {
+                network.add(new Message.Told(ask.number, receiver.told(ask.number), phase));
+            } else if (message instanceof Message.Told answer && home.isPresent()) {
+                hear(answer);
+            }
+        }
+
+        private void hear(Message.Told answer) {
+            if (answer.number != home.orElseThrow().transfer() || answer.state == VisitState.UNKNOWN) {
+                return;
+            }
+            boolean later = toldOf != answer.number || answer.state.compareTo(told) > 0;
+            if (later) {
+                toldOf = answer.number;
+                told = answer.state;
+            }
+        }
+
+        private void work() {
+            if (receiver.state == VisitState.QUEUED && random.nextInt(3) == 0) {
+                assertFalse(placedAtHome, "placed in both cells");
+                receiver.state = VisitState.BEGUN;
+                runs++;
+            } else if (receiver.state == VisitState.BEGUN && random.nextInt(3) == 0) {
+                receiver.state = VisitState.DONE;
+            }
+        }
+    }
+
+    @Property(seed = "21", tries = 3000)
+    void aJobRunsInOneCellAtMostWhateverArrives(@ForAll long seed) {
+        var world = new World(seed);
+        for (int step = 0; step < STEPS; step++) {
+            world.step();
+            assertTrue(world.runs <= 1, "ran in both cells");
+            assertTrue(world.home.map(Delegation::transfers).orElse(0) <= MOST_TRANSFERS);
+        }
+    }
+
+    @Test
+    void theStateMachineReachesEveryEnd() {
+        int home = 0;
+        int elsewhere = 0;
+        int back = 0;
+        for (long seed = 0; seed < 400; seed++) {
+            var world = new World(seed);
+            for (int step = 0; step < STEPS; step++) {
+                world.step();
+            }
+            home += world.placedAtHome ? 1 : 0;
+            elsewhere += world.overAtHome ? 1 : 0;
+            back += world.home.filter(d -> d.transfers() > 1).isPresent() ? 1 : 0;
+        }
+        assertTrue(home > 40 && elsewhere > 40 && back > 20, home + " " + elsewhere + " " + back);
+    }
+
+    @Property(seed = "22", tries = 500)
+    void phasesChangeOnlyAsStated(@ForAll long seed) {
+        var random = new Random(seed);
+        Delegation delegation = Delegation.offer(Optional.empty(), "b", 1);
+        for (int step = 0; step < 30; step++) {
+            Delegation before = delegation;
+            int change = random.nextInt(5);
+            try {
+                delegation = switch (change) {
+                    case 0 -> before.accepted();
+                    case 1 -> before.recalled();
+                    case 2 -> before.kept();
+                    case 3 -> before.returned(Instant.EPOCH);
+                    default -> Delegation.offer(Optional.of(before), "c", before.transfer() + 1);
+                };
+                assertTrue(allowed(change).contains(before.phase()), change + " from " + before.phase());
+            } catch (IllegalStateException refused) {
+                assertFalse(allowed(change).contains(before.phase()), change + " from " + before.phase());
+            }
+            assertEquals(delegation.phase() != Delegation.Phase.HOME, delegation.outstanding());
+            assertTrue(delegation.transfer() >= before.transfer());
+        }
+    }
+
+    private static EnumSet<Delegation.Phase> allowed(int change) {
+        EnumSet<Delegation.Phase> outstanding =
+                EnumSet.of(Delegation.Phase.OFFERED, Delegation.Phase.ACCEPTED, Delegation.Phase.RECALLED);
+        return switch (change) {
+            case 2 -> EnumSet.of(Delegation.Phase.RECALLED);
+            case 4 -> EnumSet.of(Delegation.Phase.HOME);
+            default -> outstanding;
+        };
+    }
+
+    @Test
+    void aTransferNumberIsNeverUsedAgain() {
+        Delegation back = Delegation.offer(Optional.empty(), "b", 5).returned(Instant.EPOCH);
+        assertThrows(IllegalStateException.class, () -> Delegation.offer(Optional.of(back), "c", 5));
+    }
+
+    private static DelegationRules.Step next(Delegation delegation, Optional<VisitState> told, Duration waited) {
+        return DelegationRules.next(
+                new DelegationRules.View(delegation, told, waited, PATIENCE, Instant.EPOCH.plusSeconds(9)));
+    }
+
+    @Test
+    void silenceNeverBringsAJobHome() {
+        Delegation offered = Delegation.offer(Optional.empty(), "b", 1);
+        for (Delegation delegation : List.of(offered, offered.accepted(), offered.recalled())) {
+            for (Duration waited : List.of(Duration.ZERO, PATIENCE.plusMillis(1), Duration.ofDays(30))) {
+                DelegationRules.Step step = next(delegation, Optional.empty(), waited);
+                boolean home = step instanceof DelegationRules.Step.Store store
+                        && !store.delegation().outstanding();
+                assertFalse(home, delegation + " after " + waited);
+            }
+        }
+    }
+
+    @Test
+    void whatCannotBeIsNotGuessedAt() {
+        Delegation accepted = Delegation.offer(Optional.empty(), "b", 1).accepted();
+        assertTrue(
+                next(accepted, Optional.of(VisitState.UNKNOWN), Duration.ZERO)
+                        instanceof DelegationRules.Step.Contradiction);
+        assertTrue(
+                next(accepted, Optional.of(VisitState.CLOSED), Duration.ZERO)
+                        instanceof DelegationRules.Step.Contradiction);
+    }
+
+    @Test
+    void aJobThatBeganElsewhereStaysThereHoweverLongItWaits() {
+        Delegation accepted = Delegation.offer(Optional.empty(), "b", 1).accepted();
+        assertEquals(
+                new DelegationRules.Step.Ask(),
+                next(accepted, Optional.of(VisitState.BEGUN), PATIENCE.multipliedBy(9)));
+        assertEquals(
+                new DelegationRules.Step.Store(accepted),
+                next(accepted.recalled(), Optional.of(VisitState.BEGUN), Duration.ZERO));
+    }
+
+    @Test
+    void reportsThatArriveOutOfOrderChangeNothing() {
+        var reports = new RemoteReports();
+        var transfer = new Transfer("wk-000001", 7);
+        var job = org.dunespindle.storage.JobRecord.accepted(TestJobs.array("wk-000001", 2), Instant.EPOCH)
+                .tied(Delegation.offer(Optional.empty(), "b", 7).accepted());
+        reports.take(VisitReport.of(transfer, VisitState.UNKNOWN), Delegation.Phase.OFFERED, Duration.ofSeconds(9));
+        assertTrue(reports.of(job).isEmpty(), "it may not have arrived yet");
+        reports.take(VisitReport.of(transfer, VisitState.BEGUN), Delegation.Phase.ACCEPTED, Duration.ofSeconds(5));
+        reports.take(VisitReport.of(transfer, VisitState.QUEUED), Delegation.Phase.ACCEPTED, Duration.ofSeconds(3));
+        assertEquals(VisitState.BEGUN, reports.of(job).orElseThrow().report().state());
+        reports.take(VisitReport.of(transfer, VisitState.DONE), Delegation.Phase.ACCEPTED, Duration.ofSeconds(4));
+        reports.take(VisitReport.of(transfer, VisitState.BEGUN), Delegation.Phase.ACCEPTED, Duration.ofSeconds(8));
+        assertEquals(VisitState.DONE, reports.of(job).orElseThrow().report().state());
+        reports.take(
+                VisitReport.of(new Transfer("wk-000001", 6), VisitState.WITHDRAWN),
+                Delegation.Phase.ACCEPTED,
+                Duration.ofSeconds(9));
+        assertEquals(VisitState.DONE, reports.of(job).orElseThrow().report().state());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dunespindle/federation/SpillPolicyTest.java
@@ -0,0 +1,146 @@
+package org.dunespindle.federation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.storage.Delegation;
+import org.dunespindle.storage.JobRecord;
+import org.dunespindle.storage.Visit;
+import org.junit.jupiter.api.Test;
+
+/** Which jobs are offered to which cells. */
+class SpillPolicyTest {
+    private static final Instant NOW = Instant.ofEpochSecond(1000);
+    private static final int MOST_TRANSFERS = 3;
+
+    private static RoomHint hint(String zone, Priority priority, int tasks) {
+        var free = new Resources(tasks, tasks, tasks);
+        return new RoomHint("box", zone, false, priority, free, tasks > 0 ? new Resources(4, 4, 4) : free, false);
+    }
+
+    private static SpillPolicy.Target target(String name, int tasks) {
+        var hints = new ArrayList<RoomHint>();
+        for (Priority priority : Priority.values()) {
+            hints.add(hint("east", priority, tasks));
+        }
+        return new SpillPolicy.Target(name, hints, kind -> false);
+    }
+
+    private static List<SpillPolicy.Choice> choose(
+            List<JobRecord> jobs, List<SpillPolicy.Target> targets, List<WorkKind> takesIn) {
+        return SpillPolicy.choose(new SpillPolicy.View(NOW, jobs, targets, takesIn, MOST_TRANSFERS, 4));
+    }
+
+    private static JobRecord waiting(String id, Priority priority, int tasks) {
+        return JobRecord.accepted(TestJobs.gang(id, priority, tasks, false), Instant.EPOCH);
+    }
+
+    @Test
+    void theHighestPriorityGoesFirstAndWhereMostRoomIs() {
+        List<JobRecord> jobs = List.of(
+                waiting("wk-000001", Priority.LOW, 3),
+                waiting("wk-000002", Priority.URGENT, 3),
+                waiting("wk-000003", Priority.NORMAL, 3));
+        List<SpillPolicy.Choice> choices = choose(jobs, List.of(target("b", 4), target("c", 8)), List.of());
+        assertEquals(
+                List.of("wk-000002 c", "wk-000003 c", "wk-000001 b"),
+                choices.stream().map(c -> c.job().id() + " " + c.cell()).toList());
+    }
+
+    @Test
+    void aGangNeedsRoomForAllAndInOneZoneWhereItMustBeTogether() {
+        var both = new SpillPolicy.Target(
+                "b", List.of(hint("east", Priority.URGENT, 3), hint("west", Priority.URGENT, 3)), kind -> false);
+        JobRecord apart = JobRecord.accepted(TestJobs.gang("wk-000001", Priority.URGENT, 5, false), Instant.EPOCH);
+        JobRecord together = JobRecord.accepted(TestJobs.gang("wk-000002", Priority.URGENT, 5, true), Instant.EPOCH);
+        assertEquals(1, choose(List.of(apart), List.of(both), List.of()).size());
+        assertEquals(0, choose(List.of(together), List.of(both), List.of()).size());
+    }
+
+    @Test
+    void whoTakesInWorkOfAKindGivesNoneAway() {
+        JobRecord job = waiting("wk-000001", Priority.URGENT, 1);
+        var other = new WorkKind(Optional.of(List.of("big")));
+        assertEquals(
+                0,
+                choose(List.of(job), List.of(target("b", 4)), List.of(WorkKind.of(job.job())))
+                        .size());
+        JobRecord boxes = JobRecord.accepted(
+                TestJobs.of("wk-000002", Shape.GANG, Priority.URGENT, 1, Optional.of(List.of("box")), false),
+                Instant.EPOCH);
+        assertEquals(
+                1,
+                choose(List.of(boxes), List.of(target("b", 4)), List.of(other)).size());
+    }
+
+    @Test
+    void whatCameBackIsGivenAgainOnlyLaterAndNotForEver() {
+        Delegation once = Delegation.offer(Optional.empty(), "b", 1).returned(NOW.plusSeconds(5));
+        JobRecord paused = waiting("wk-000001", Priority.URGENT, 1).tied(once);
+        assertEquals(
+                0, choose(List.of(paused), List.of(target("b", 4)), List.of()).size());
+        Delegation due = Delegation.offer(Optional.empty(), "b", 1).returned(NOW);
+        JobRecord back = paused.tied(due);
+        List<SpillPolicy.Choice> choices = choose(List.of(back), List.of(target("b", 9), target("c", 2)), List.of());
+        assertEquals("c", choices.get(0).cell(), "not to the one that gave it back, while there is another");
+        Delegation last = due;
+        for (int transfer = 2; transfer <= MOST_TRANSFERS; transfer++) {
+            last = Delegation.offer(Optional.of(last), "c", transfer).returned(NOW);
+        }
+        assertEquals(
+                0,
+                choose(List.of(back.tied(last)), List.of(target("b", 4)), List.of())
+                        .size());
+    }
+
+    @Test
+    void onlyWholeJobsOfThisCellMove() {
+        JobRecord job = waiting("wk-000001", Priority.URGENT, 2);
+        assertTrue(SpillPolicy.movable(job));
+        JobRecord placed = job.placed(Map.of(0, "i-1"));
+        assertFalse(SpillPolicy.movable(placed));
+        assertFalse(SpillPolicy.movable(placed.released(0, false)), "a task of it was booked once");
+        assertFalse(SpillPolicy.movable(job.tied(Visit.of("c", 4))), "visitors are never passed on");
+        assertFalse(SpillPolicy.movable(job.tied(Delegation.offer(Optional.empty(), "b", 1))));
+        JobRecord service = JobRecord.accepted(
+                TestJobs.of("wk-000002", Shape.SERVICE, Priority.CRITICAL, 2, Optional.empty(), false), NOW);
+        assertFalse(SpillPolicy.movable(service));
+    }
+
+    @Property(seed = "31", tries = 300)
+    void noMoreIsPromisedThanTold(@ForAll long seed) {
+        var random = new Random(seed);
+        var jobs = new ArrayList<JobRecord>();
+        for (int i = 0; i < 12; i++) {
+            Priority priority = Priority.values()[random.nextInt(4)];
+            jobs.add(waiting("wk-%06d".formatted(i), priority, 1 + random.nextInt(6)));
+        }
+        int roomB = random.nextInt(12);
+        int roomC = random.nextInt(12);
+        List<SpillPolicy.Choice> choices = choose(jobs, List.of(target("b", roomB), target("c", roomC)), List.of());
+        var seen = new HashSet<String>();
+        choices.forEach(choice -> assertTrue(seen.add(choice.job().id()), "chosen twice"));
+        assertTrue(tasks(choices, "b") <= roomB);
+        assertTrue(tasks(choices, "c") <= roomC);
+    }
+
+    private static int tasks(List<SpillPolicy.Choice> choices, String cell) {
+        return choices.stream()
+                .filter(choice -> choice.cell().equals(cell))
+                .mapToInt(choice -> choice.job().job().tasks())
+                .sum();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dunespindle/federation/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the federation's parts; whole cells are tested in {@code sim}. */
+package org.dunespindle.federation;
--- a/src/test/java/org/dunespindle/sim/ClusterRules.java
+++ b/src/test/java/org/dunespindle/sim/ClusterRules.java
@@ -65,6 +65,22 @@
         }
     }
 
+    /** The limits of teams as settings name them for all but large clusters: accelerators. */
+    void accelerators() {
+        if (cluster.mostMachines > ClusterSettings.LARGE) {
+            return;
+        }
+        var use = new HashMap<String, Double>();
+        for (WorkerStandIn.Task t : live()) {
+            Submission job = cluster.jobs.get(t.task.job());
+            use.merge(job.team(), job.perTask().gpus(), Double::sum);
+        }
+        if (use.getOrDefault("red", 0.0) > SimulatedCluster.QUOTA_RED
+                || use.getOrDefault("blue", 0.0) > SimulatedCluster.QUOTA_BLUE) {
+            cluster.broken.add("quota: " + use);
+        }
+    }
+
     /** A task starts: checks that it is nowhere else and in a place that its job allows. */
     void started(WorkerStandIn worker, WorkerStandIn.Task started) {
         Submission job = cluster.jobs.get(started.task.job());
@@ -88,6 +104,7 @@
             cluster.broken.add("wrong_place: " + started.task);
         }
         cluster.begunAt.putIfAbsent(started.task.job(), cluster.sim.now());
+        cluster.surroundings.watcher().started(cluster, started);
         if (cluster.cancelled.containsKey(started.task.job())) {
             cluster.startsAfterCancel.add(started.task.toString());
             Duration told = cluster.cancelled.get(started.task.job());
--- a/src/test/java/org/dunespindle/sim/ClusterSettings.java
+++ b/src/test/java/org/dunespindle/sim/ClusterSettings.java
@@ -10,7 +10,7 @@
 /** The settings of a simulated cluster's controllers. */
 final class ClusterSettings {
     /** From so many machines on teams' limits follow the size of the cluster. */
-    private static final int LARGE = 100;
+    static final int LARGE = 100;
 
     private ClusterSettings() {}
 
@@ -20,7 +20,7 @@
                 TestSettings.node("n" + node, "127.0.0.1:1", "127.0.0.1:2", "cloud:1", "state:1", seedsBeside(node));
         ((ObjectNode) file).put("area", cluster.areas[node]);
         JsonNode deployment = file.path("deployment");
-        if (cluster.nextLimits != null && cluster.formats[node] == FormatVersion.NEWEST) {
+        if (cluster.nextLimits != null && cluster.formats[node] == FormatVersion.WITHOUT_FEATURES) {
             ((ObjectNode) deployment.path("state")).set("next", cluster.nextLimits);
         }
         if (cluster.mostMachines > LARGE) {
--- a/src/test/java/org/dunespindle/sim/Sim.java
+++ b/src/test/java/org/dunespindle/sim/Sim.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Random;
 import org.dunespindle.storage.Timeline;
@@ -11,7 +13,7 @@
     private final PriorityQueue<Event> queue = new PriorityQueue<>();
     private Duration now = Duration.ZERO;
     private long sequence;
-    private Runnable afterEach = () -> {};
+    private final List<Runnable> afterEach = new ArrayList<>();
     public final Random random;
 
     private record Event(Duration at, long sequence, Runnable work) implements Comparable<Event> {
@@ -34,7 +36,7 @@
 
     /** Runs after every event: what must hold at any moment is checked here. */
     public void afterEach(Runnable check) {
-        afterEach = check;
+        afterEach.add(check);
     }
 
     /** Schedules work. */
@@ -53,7 +55,7 @@
             Event e = queue.poll();
             now = e.at();
             e.work().run();
-            afterEach.run();
+            afterEach.forEach(Runnable::run);
         }
         now = until;
     }
--- a/src/test/java/org/dunespindle/sim/SimulatedCluster.java
+++ b/src/test/java/org/dunespindle/sim/SimulatedCluster.java
@@ -7,7 +7,6 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -47,16 +46,16 @@
     public final StateStandIn state;
     final ClusterRules rules = new ClusterRules(this);
     final TaskRuns runs = new TaskRuns(this);
-    private final CloudStandIn cloud = new CloudStandIn(this);
+    final CloudStandIn cloud = new CloudStandIn(this);
     final List<String> broken = new ArrayList<>();
     private final Controller[] nodes = new Controller[3];
     final Sim.Process[] processes = new Sim.Process[3];
     final Map<String, WorkerStandIn> workers = new TreeMap<>();
-    final Map<String, Submission> jobs = new LinkedHashMap<>();
-    final Map<String, Set<Integer>> done = new HashMap<>();
-    final Map<String, Duration> cancelled = new HashMap<>();
-    private final Map<String, Duration> overAt = new HashMap<>();
-    private final Map<String, Duration> offered = new HashMap<>();
+    final Map<String, Submission> jobs;
+    final Map<String, Set<Integer>> done;
+    final Map<String, Duration> cancelled;
+    final Surroundings surroundings;
+    private final SimulatedUsers users = new SimulatedUsers(this);
     final Map<String, String> told = new HashMap<>();
     /** The one controller that the state service refuses, or -1. */
     public int refusedNode = -1;
@@ -85,7 +84,9 @@
 
     Duration latestCopy = Duration.ofSeconds(25);
     /** The newest stored format that each controller announces when it starts. */
-    final int[] formats = {FormatVersion.NEWEST, FormatVersion.NEWEST, FormatVersion.NEWEST};
+    final int[] formats = {
+        FormatVersion.WITHOUT_FEATURES, FormatVersion.WITHOUT_FEATURES, FormatVersion.WITHOUT_FEATURES
+    };
     /** The limits that the state service announces, to controllers of the newest format only, or null. */
     JsonNode nextLimits;
 
@@ -125,25 +126,38 @@
 
     /** A larger cluster; machines' names may be further apart, so that fewer of them share a record. */
     SimulatedCluster(long seed, int mostMachines, int nameStep) {
-        this(seed, mostMachines, nameStep, FormatVersion.NEWEST);
+        this(seed, mostMachines, nameStep, FormatVersion.WITHOUT_FEATURES);
     }
 
     /** The same with controllers that begin with an older stored format. */
     SimulatedCluster(long seed, int mostMachines, int nameStep, int format) {
+        this(Surroundings.none(new Sim(seed)), mostMachines, nameStep, format);
+    }
+
+    /** A cluster that shares time, and knowledge of jobs, with others. */
+    SimulatedCluster(Surroundings surroundings, int mostMachines, int nameStep, int format) {
         Arrays.fill(formats, format);
         this.mostMachines = mostMachines;
         this.nameStep = nameStep;
-        sim = new Sim(seed);
+        this.surroundings = surroundings;
+        jobs = surroundings.jobs();
+        done = surroundings.done();
+        completed = surroundings.completed();
+        cancelled = surroundings.cancelled();
+        sim = surroundings.sim();
         state = new StateStandIn(sim);
-        for (int i = 0; i < 3; i++) {
-            boot(i);
+        if (surroundings.outside().isEmpty()) {
+            for (int i = 0; i < 3; i++) {
+                boot(i);
+            }
+            sim.after(100, this::watch);
         }
-        sim.after(100, this::watch);
         if (mostMachines < 100) {
             sim.afterEach(() -> {
                 if (dirty) {
                     dirty = false;
                     rules.quota();
+                    rules.accelerators();
                 }
             });
         }
@@ -152,10 +166,16 @@
     private void boot(int i) {
         var process = sim.new Process();
         processes[i] = process;
-        nodes[i] = new Controller(ClusterSettings.of(this, i), caller(process, i), process, formats[i], why -> {
-            met("cannot go on");
-            process.kill();
-        });
+        nodes[i] = new Controller(
+                ClusterSettings.of(this, i),
+                caller(process, i),
+                process,
+                surroundings.formats(formats[i]),
+                why -> {
+                    met("cannot go on");
+                    process.kill();
+                },
+                context -> surroundings.connector().connect(i, process, context));
         nodes[i].start();
     }
 
@@ -181,10 +201,10 @@
 
     /** When its user was told first that a job is over. */
     Optional<Duration> toldOverAt(String id) {
-        return over(id) ? Optional.ofNullable(overAt.get(id)) : Optional.empty();
+        return users.toldOverAt(id);
     }
 
-    final Map<String, Duration> completed = new HashMap<>();
+    final Map<String, Duration> completed;
     /** How long tasks run, if not a few seconds. */
     Optional<Duration> taskTime = Optional.empty();
     /** Calls by kind so far, and changes written. */
@@ -411,6 +431,10 @@
     }
 
     void toNode(int node, WorkerStandIn from, ObjectNode report, BiConsumer<Integer, JsonNode> answer) {
+        if (surroundings.outside().isPresent()) {
+            surroundings.outside().get().report(node, report, answer);
+            return;
+        }
         for (int copy = 0; copy < lateCopies; copy++) {
             // A late copy arrives whatever has become of the machine meanwhile, and nobody hears what is answered to
             // it.
@@ -493,82 +517,34 @@
     // The users
 
     void submit(Submission job) {
-        jobs.put(job.id(), job);
-        submittedAt.putIfAbsent(job.id(), sim.now());
-        offer(job);
+        users.submit(job);
     }
 
     /** A user repeats a submission; whatever became of the job meanwhile, it is known. */
     void repeat(String id) {
-        Duration asked = sim.now();
-        if (!told.containsKey(id)) {
-            return;
-        }
-        ask(
-                n -> n.submit(MessagePackCodec.write(jobs.get(id).toNode()), a -> {
-                    if (a.status() == 200 || a.status() == 201) {
-                        told(id, asked, a);
-                    } else if (a.status() != 503) {
-                        broken.add("forgotten: repeated submission of " + id + " answered " + a.status());
-                    }
-                }),
-                () -> {});
+        users.repeat(id);
     }
 
     /** A user asks how an accepted job stands. */
     void askAbout(String id) {
-        Duration asked = sim.now();
-        ask(
-                n -> n.poll(id, a -> {
-                    if (a.status() == 200) {
-                        told(id, asked, a);
-                    } else if (a.status() == 404) {
-                        broken.add("forgotten: " + id);
-                    }
-                }),
-                () -> {});
+        users.askAbout(id);
     }
 
     /** A user asks about a job that nobody submitted. */
     void askForStranger(String id) {
-        ask(
-                n -> n.poll(id, a -> {
-                    if (a.status() == 200) {
-                        broken.add("invented: " + id);
-                    }
-                }),
-                () -> {});
-    }
-
-    private void offer(Submission job) {
-        Duration asked = sim.now();
-        // A controller that dies with the request never answers it; its user asks again.
-        sim.after(5000, () -> {
-            if (!told.containsKey(job.id()) && !(offered.get(job.id()).compareTo(asked) > 0)) {
-                offer(job);
-            }
-        });
-        offered.put(job.id(), asked);
-        ask(
-                n -> n.submit(MessagePackCodec.write(job.toNode()), a -> {
-                    if (a.status() == 200 || a.status() == 201) {
-                        told(job.id(), asked, a);
-                    } else if (a.status() != 503) {
-                        broken.add("submission of " + job.id() + " answered " + a.status());
-                    } else {
-                        sim.after(1000, () -> offer(job));
-                    }
-                }),
-                () -> offer(job));
-    }
-
-    private void ask(java.util.function.Consumer<UserApi> question, Runnable otherwise) {
+        users.askForStranger(id);
+    }
+
+    /** A user calls a job off, until told that it is. */
+    void cancel(String id) {
+        users.cancel(id);
+    }
+
+    /** The API of a controller that users reach now; empty while they reach none. */
+    Optional<UserApi> reachable() {
         int i = usersAt >= 0 ? usersAt : sim.random.nextInt(3);
-        if (nodes[i] == null || processes[i].frozen() || apart("", areas[i]) || !nodes[i].healthy()) {
-            sim.after(500, otherwise);
-        } else {
-            question.accept(nodes[i].userApi());
-        }
+        boolean reached = nodes[i] != null && !processes[i].frozen() && !apart("", areas[i]) && nodes[i].healthy();
+        return reached ? Optional.of(nodes[i].userApi()) : Optional.empty();
     }
 
     /** Offers a job to one controller, whose answer comes in virtual time. */
@@ -629,53 +605,23 @@
         return result;
     }
 
+    /** Has a controller store some of the operators' settings, which nobody has changed before. */
+    void setOptions(int node, Map<String, Double> values) {
+        ObjectNode change = MessagePackCodec.map().put("stamp", 0);
+        ObjectNode list = change.putObject("values");
+        values.forEach(list::put);
+        nodes[node].admin().handle("PUT", "/v1/options", Admin.write(change), answer -> {
+            if (answer.status() != 200) {
+                broken.add("options are not taken: " + answer.body());
+            }
+        });
+    }
+
     /** What a job's user was told last, if that was that it is cancelled, and when first. */
     Optional<Duration> cancelledAt(String id) {
         return Optional.ofNullable(cancelled.get(id));
     }
 
-    void cancel(String id) {
-        Duration asked = sim.now();
-        wantedGone.add(id);
-        ask(
-                n -> n.cancel(id, a -> {
-                    if (a.status() == 200) {
-                        told(id, asked, a);
-                    } else {
-                        sim.after(1000, () -> cancel(id));
-                    }
-                }),
-                () -> cancel(id));
-    }
-
-    /** Takes an answer to a question asked at some time; answers that crossed a newer one say nothing about order. */
-    private void told(String id, Duration asked, UserApi.Answer a) {
-        String phase = a.body().path("phase").asText();
-        String before = told.getOrDefault(id, "");
-        boolean over = before.equals("done") || before.equals("cancelled");
-        if (over && !before.equals(phase) && asked.compareTo(overAt.get(id)) > 0) {
-            broken.add("went_back: " + id + " was " + before + ", now " + phase);
-        }
-        if (!over) {
-            told.put(id, phase);
-            overAt.put(id, sim.now());
-        } else if (!before.equals(phase) && (phase.equals("done") || phase.equals("cancelled"))) {
-            broken.add("went_back: " + id + " was told " + before + " and " + phase);
-        }
-        if (phase.equals("cancelled")) {
-            if (!wantedGone.contains(id)) {
-                broken.add("went_back: " + id + " cancelled by nobody");
-            }
-            if (cancelled.putIfAbsent(id, sim.now()) == null) {
-                sim.after(CANCEL.plusMillis(1), rules::quota);
-            }
-        }
-        if (phase.equals("done")
-                && done.getOrDefault(id, Set.of()).size() < jobs.get(id).tasks()) {
-            broken.add("not_done: " + id);
-        }
-    }
-
     String lastTold(String id) {
         return told.getOrDefault(id, "");
     }
--- a/src/test/java/org/dunespindle/sim/WorkerStandIn.java
+++ b/src/test/java/org/dunespindle/sim/WorkerStandIn.java
@@ -173,7 +173,10 @@
     }
 
     String address() {
-        return "worker:" + id.substring(2);
+        return cluster.surroundings
+                .outside()
+                .map(outside -> outside.addressOf(this))
+                .orElseGet(() -> "worker:" + id.substring(2));
     }
 
     ObjectNode report() {
