--- a/src/main/java/org/dunespindle/coordination/Admin.java
+++ b/src/main/java/org/dunespindle/coordination/Admin.java
@@ -12,7 +12,6 @@
 import org.dunespindle.protocol.MessagePackCodec;
 import org.dunespindle.protocol.Resources;
 import org.dunespindle.protocol.Settings;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.storage.Allocation;
 import org.dunespindle.storage.JobRecord;
 import org.dunespindle.storage.Keys;
@@ -153,7 +152,7 @@
                         .put("priority", s.priority().wire())
                         .put("tasks", s.tasks()));
         n.put("accepted", j.arrived().toString());
-        if (j.open() && j.job().shape() == Shape.SERVICE) {
+        if (j.open() && j.job().service()) {
             showReplicas(n, j);
         }
         boolean placing = j.open() && j.job().gang() && j.mode() != JobRecord.Mode.REAL;
--- a/src/main/java/org/dunespindle/coordination/Fleet.java
+++ b/src/main/java/org/dunespindle/coordination/Fleet.java
@@ -9,7 +9,6 @@
 import org.dunespindle.protocol.ListedMachine;
 import org.dunespindle.protocol.MachineType;
 import org.dunespindle.protocol.Settings;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.storage.JobRecord;
 import org.dunespindle.storage.MachineRecord;
 import org.dunespindle.storage.Replica;
@@ -274,7 +273,7 @@
      */
     private Duration patienceWith(MachineRecord h, Duration limit) {
         boolean holdsReplicas = replica.allocationsOn(h.id()).stream()
-                .anyMatch(p -> p.job().spec().isPresent() && p.job().job().shape() == Shape.SERVICE);
+                .anyMatch(p -> p.job().spec().isPresent() && p.job().job().service());
         if (!holdsReplicas) {
             return limit;
         }
--- a/src/main/java/org/dunespindle/coordination/JobChanges.java
+++ b/src/main/java/org/dunespindle/coordination/JobChanges.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.storage.JobRecord;
 
 /** Applies what became of allocations to a job's record. Pure. */
@@ -65,7 +64,7 @@
 
     /** A service runs for so long that it meets faulty machines; one that fails everywhere loses all replicas at once. */
     private static int freeFailures(JobRecord job) {
-        boolean service = job.job().shape() == Shape.SERVICE;
+        boolean service = job.job().service();
         return FREE_FAILURES + (service ? job.job().tasks() : 0);
     }
 
--- a/src/main/java/org/dunespindle/coordination/MachineRoom.java
+++ b/src/main/java/org/dunespindle/coordination/MachineRoom.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Set;
 import org.dunespindle.protocol.Resources;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.storage.Allocation;
 import org.dunespindle.storage.JobRecord;
 
@@ -144,7 +143,7 @@
         Resources one = job.job().perTask();
         take(one);
         tasks++;
-        replicas += job.job().shape() == Shape.SERVICE ? 1 : 0;
+        replicas += job.job().service() ? 1 : 0;
         needsImage(job.job().image());
         if (allocation.stopping() || !job.open() || job.mode() == JobRecord.Mode.STOP) {
             ending = ending.plus(one);
--- a/src/main/java/org/dunespindle/coordination/Outcomes.java
+++ b/src/main/java/org/dunespindle/coordination/Outcomes.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.dunespindle.protocol.Settings;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.storage.Allocation;
 import org.dunespindle.storage.JobRecord;
 import org.dunespindle.storage.JobRecordWriter;
@@ -118,8 +117,7 @@
     private boolean due(JobRecord j, List<Seen> seen) {
         if (j.spec().isEmpty()
                 || !j.open()
-                || j.job().gang()
-                || j.job().shape() == Shape.SERVICE
+                || j.job().whole()
                 || seen.stream()
                         .anyMatch(s -> s.event.fate() != Reconciler.Fate.DONE
                                 && timeline.now().minus(s.since).compareTo(GATHER_LAST) >= 0)) {
@@ -148,7 +146,7 @@
         if (after == j) {
             return;
         }
-        boolean hurry = !after.open() || after.job().gang() || after.job().shape() == Shape.SERVICE;
+        boolean hurry = !after.open() || after.job().whole();
         if (!hurry && committer.waiting() >= MOST_WAITING) {
             return; // it would lock the record for long; the job's next placement takes it along
         }
--- a/src/main/java/org/dunespindle/coordination/PlacementPacing.java
+++ b/src/main/java/org/dunespindle/coordination/PlacementPacing.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.storage.JobRecord;
 import org.dunespindle.storage.Keys;
 
@@ -79,7 +78,7 @@
     /** How long a job's record must have stayed as it is before it is placed here. */
     private Duration wait(JobRecord job, Duration gather) {
         boolean many = job.allocations().size() >= MANY_UNDER_WAY && gather.compareTo(GATHER_MANY) < 0;
-        boolean service = job.job().shape() == Shape.SERVICE;
+        boolean service = job.job().service();
         Duration patience = service ? Duration.ZERO : many ? GATHER_MANY : gather;
         String here = context.settings().nodeName();
         if (context.membership().homeOf(job.id()).filter(here::equals).isEmpty()) {
--- a/src/main/java/org/dunespindle/coordination/PlanSnapshots.java
+++ b/src/main/java/org/dunespindle/coordination/PlanSnapshots.java
@@ -12,7 +12,6 @@
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 import org.dunespindle.protocol.MachineType;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.storage.Allocation;
 import org.dunespindle.storage.JobRecord;
 import org.dunespindle.storage.MachineRecord;
@@ -190,7 +189,7 @@
         Duration now = context.timeline().now();
         var present = new HashSet<Planner.Started>();
         for (JobRecord job : jobs) {
-            if (!all && (job.spec().isEmpty() || job.job().shape() != Shape.SERVICE)) {
+            if (!all && (job.spec().isEmpty() || !job.job().service())) {
                 continue;
             }
             for (Allocation allocation : job.allocations()) {
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -14,7 +14,6 @@
 import java.util.function.ToIntFunction;
 import org.dunespindle.protocol.Resources;
 import org.dunespindle.protocol.Settings;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.storage.Allocation;
 import org.dunespindle.storage.JobRecord;
 
@@ -198,7 +197,7 @@
                     job.notBefore().filter(t -> t.isAfter(state.snapshot().now()));
             if (pause.isPresent()) {
                 state.waitsForNow(job, "its tasks fail or were refused; tried again at " + pause.get());
-            } else if (job.job().shape() == Shape.SERVICE) {
+            } else if (job.job().service()) {
                 services.place(job);
             } else if (!gang) {
                 alike.add(job);
--- a/src/main/java/org/dunespindle/coordination/Reconciler.java
+++ b/src/main/java/org/dunespindle/coordination/Reconciler.java
@@ -42,7 +42,29 @@
     public record Event(String job, int task, long base, Fate fate, String why) {}
 
     /** The outcome for one machine. */
-    public record Verdict(List<WorkerCommand> commands, List<Event> events) {}
+    public record Verdict(List<WorkerCommand> commands, List<Event> events) {
+        /**
+         * What became of allocations on a machine that takes no commands, or whose reports reach nobody: a task that its report shows
+         * absent, with no start under way, is free to start elsewhere.
+         */
+        List<Event> withoutStarts(List<Placed> allocations) {
+            var ended = new ArrayList<>(events);
+            var unstarted = new HashSet<TaskId>();
+            commands.stream().filter(WorkerCommand.Run.class::isInstance).forEach(run -> unstarted.add(run.task()));
+            for (Placed placed : allocations) {
+                if (unstarted.contains(
+                        new TaskId(placed.job().id(), placed.allocation().task()))) {
+                    ended.add(new Event(
+                            placed.job().id(),
+                            placed.allocation().task(),
+                            placed.allocation().base(),
+                            Fate.GONE,
+                            "the machine and its controllers do not reach each other"));
+                }
+            }
+            return ended;
+        }
+    }
 
     /** Compares a machine's allocations with what its worker reports. */
     public static Verdict judge(List<Placed> allocations, WorkerReport report) {
--- a/src/main/java/org/dunespindle/coordination/ReplicaMoves.java
+++ b/src/main/java/org/dunespindle/coordination/ReplicaMoves.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.storage.Allocation;
 import org.dunespindle.storage.JobRecord;
 
@@ -32,7 +31,7 @@
     void plan() {
         boolean mayEmpty = true;
         for (JobRecord record : state.snapshot().jobs()) {
-            if (record.open() && record.job().shape() == Shape.SERVICE) {
+            if (record.open() && record.job().service()) {
                 mayEmpty = move(record, mayEmpty);
             }
         }
--- a/src/main/java/org/dunespindle/coordination/UserApi.java
+++ b/src/main/java/org/dunespindle/coordination/UserApi.java
@@ -13,7 +13,6 @@
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.MessagePackCodec;
 import org.dunespindle.protocol.Settings;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.protocol.Submission;
 import org.dunespindle.storage.JobRecord;
 import org.dunespindle.storage.JobRecordWriter;
@@ -174,7 +173,7 @@
         if (zones.isEmpty()) {
             return Optional.of("a task fits no allowed machine type");
         }
-        boolean together = job.gang() || job.shape() == Shape.SERVICE;
+        boolean together = job.whole();
         if (!team.withinLimit(together ? job.wholeAsk() : job.perTask())) {
             return Optional.of("the job needs more than the limit of team " + job.team());
         }
--- a/src/main/java/org/dunespindle/coordination/WorkerClient.java
+++ b/src/main/java/org/dunespindle/coordination/WorkerClient.java
@@ -13,7 +13,6 @@
 import org.dunespindle.protocol.MalformedException;
 import org.dunespindle.protocol.MessagePackCodec;
 import org.dunespindle.protocol.Settings;
-import org.dunespindle.protocol.TaskId;
 import org.dunespindle.protocol.TaskPhase;
 import org.dunespindle.protocol.WorkerCommand;
 import org.dunespindle.protocol.WorkerReport;
@@ -44,10 +43,6 @@
     private static final Duration ONE_WAY_AFTER = Duration.ofSeconds(5);
     static final int COMMANDS_AT_ONCE = 200;
     private static final int MOST_KEPT_EXITS = 6;
-    /** Calls to machines may take this part of the sockets, those to silent ones half of it: in a cut they hang by the hundred. */
-    private static final int CALLS_PART = 8;
-
-    private static final int LEAST_CALLS = 16;
     private final Settings settings;
     private final Replica replica;
     private final Membership membership;
@@ -65,11 +60,7 @@
     private final Set<String> withEvents = new LinkedHashSet<>();
     private long version;
     private long calls;
-    private final int mostCalls;
-    private int underWay;
-    private int underWayToSilent;
-    /** Machines that a call is due to once another has ended; what to say is decided then. */
-    private final LinkedHashSet<String> inLine = new LinkedHashSet<>();
+    private final CallSlots slots;
 
     /** Creates a client for the workers' direct commands. */
     WorkerClient(
@@ -91,7 +82,7 @@
         this.preemptions = preemptions;
         this.cancellations = cancellations;
         this.changed = changed;
-        this.mostCalls = Math.max(LEAST_CALLS, settings.sockets() / CALLS_PART);
+        this.slots = new CallSlots(settings.sockets());
     }
 
     /** Grows whenever what machines here can take, or what became of their tasks, may have changed. */
@@ -168,17 +159,16 @@
     }
 
     private void verify(String host, String address, Sessions.Session session, Consumer<Boolean> then) {
-        if (underWay >= mostCalls) {
+        if (slots.full()) {
             then.accept(false);
             return;
         }
         session.verifying = true;
-        underWay++;
+        slots.begin(false);
         http.send(address, "GET", "/inspect", new byte[0], MessagePackCodec.TYPE, INSPECT_TIMEOUT)
                 .whenComplete((a, e) -> {
                     session.verifying = false;
-                    underWay--;
-                    nextInLine();
+                    slots.end(false, due::add);
                     then.accept(a != null && a.status() == 200 && answered(host, session, a.body()));
                 });
     }
@@ -186,7 +176,7 @@
     /** Asks a machine itself whether it is there; false if it cannot be asked now. */
     boolean ask(MachineRecord record, String address, Consumer<Boolean> then) {
         Sessions.Session s = sessions.of(record.id());
-        if (address.isEmpty() || s.verifying || underWay >= mostCalls) {
+        if (address.isEmpty() || s.verifying || slots.full()) {
             return false;
         }
         verify(record.id(), address, s, then);
@@ -325,7 +315,7 @@
                     || oneWayFor(record.id())
                             .filter(d -> d.compareTo(ONE_WAY_AFTER) > 0)
                             .isPresent()) {
-                events = withoutStarts(v, replica.allocationsOn(record.id()));
+                events = v.withoutStarts(replica.allocationsOn(record.id()));
             }
         }
         events(record.id(), s, events);
@@ -342,27 +332,6 @@
         }
     }
 
-    /**
-     * On a machine that takes no commands, or whose reports reach nobody, a task that its report shows absent, with no start under way,
-     * is free to start elsewhere.
-     */
-    private static List<Reconciler.Event> withoutStarts(Reconciler.Verdict v, List<Replica.Placed> allocations) {
-        var events = new ArrayList<>(v.events());
-        var unstarted = new HashSet<TaskId>();
-        v.commands().stream().filter(o -> o instanceof WorkerCommand.Run).forEach(o -> unstarted.add(o.task()));
-        for (Replica.Placed p : allocations) {
-            if (unstarted.contains(new TaskId(p.job().id(), p.allocation().task()))) {
-                events.add(new Reconciler.Event(
-                        p.job().id(),
-                        p.allocation().task(),
-                        p.allocation().base(),
-                        Reconciler.Fate.GONE,
-                        "the machine and its controllers do not reach each other"));
-            }
-        }
-        return events;
-    }
-
     private void events(String host, Sessions.Session s, List<Reconciler.Event> events) {
         if (s.events.isEmpty() && events.isEmpty()) {
             return;
@@ -436,15 +405,14 @@
         if (address.isEmpty() || timeline.now().compareTo(s.callAgainAt) < 0) {
             return; // a timer brings it back
         }
-        // A silent machine is asked seldom: in a cut there are hundreds, and each attempt holds a socket. Its next
-        // report ends the pause.
+        // A silent machine is asked seldom; its next report ends the pause.
         boolean silent = s.aliveAt()
                 .filter(t -> stalls.silence(t)
                                 .compareTo(Durations.times(settings.workers().report(), 2))
                         < 0)
                 .isEmpty();
-        if (underWay >= mostCalls || silent && underWayToSilent >= mostCalls / 2) {
-            inLine.add(record.id());
+        if (slots.full(silent)) {
+            slots.queue(record.id());
             return;
         }
         // Whatever the call is for: what is cancelled ends now.
@@ -456,8 +424,7 @@
         s.starting(token, session, some);
         s.calling = true;
         calls++;
-        underWay++;
-        underWayToSilent += silent ? 1 : 0;
+        slots.begin(silent);
         http.send(
                         address,
                         "POST",
@@ -467,9 +434,7 @@
                         COMMAND_TIMEOUT)
                 .whenComplete((a, e) -> {
                     s.calling = false;
-                    underWay--;
-                    underWayToSilent -= silent ? 1 : 0;
-                    nextInLine();
+                    slots.end(silent, due::add);
                     version++;
                     if (a != null && (a.status() == 200 || a.status() == 409)) {
                         if (!answered(record.id(), s, a.body()) && starts) {
@@ -489,14 +454,6 @@
                 });
     }
 
-    private void nextInLine() {
-        int free = Math.max(1, mostCalls - underWay);
-        for (var it = inLine.iterator(); free > 0 && it.hasNext(); free--) {
-            due.add(it.next());
-            it.remove();
-        }
-    }
-
     private void unanswered(MachineRecord record, Sessions.Session s, long token) {
         s.unansweredUnder = Optional.of(token);
         s.unansweredAt = timeline.now();
--- a/src/main/java/org/dunespindle/federation/SpillPolicy.java
+++ b/src/main/java/org/dunespindle/federation/SpillPolicy.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.protocol.Submission;
 import org.dunespindle.storage.Delegation;
 import org.dunespindle.storage.JobRecord;
@@ -49,7 +48,7 @@
     /** Whether a job could be given away at all: as a whole, and with no task ever booked. */
     public static boolean movable(JobRecord job) {
         return job.open()
-                && job.job().shape() != Shape.SERVICE
+                && !job.job().service()
                 && job.untouched()
                 && job.visit().isEmpty()
                 && !job.away();
--- a/src/main/java/org/dunespindle/protocol/Submission.java
+++ b/src/main/java/org/dunespindle/protocol/Submission.java
@@ -40,6 +40,16 @@
         return shape == Shape.GANG;
     }
 
+    /** Whether its tasks run until its user calls it off. */
+    public boolean service() {
+        return shape == Shape.SERVICE;
+    }
+
+    /** Whether it is of use only with all of its tasks: it may then never need more than its team's limit at once. */
+    public boolean whole() {
+        return gang() || service();
+    }
+
     /** Whether a stopped task can save its progress. */
     public boolean saves() {
         return !checkpointEvery.isZero();
--- a/src/main/java/org/dunespindle/storage/JobRecord.java
+++ b/src/main/java/org/dunespindle/storage/JobRecord.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.dunespindle.protocol.MalformedException;
-import org.dunespindle.protocol.Shape;
 import org.dunespindle.protocol.Submission;
 
 /**
@@ -285,7 +284,7 @@
         }
         var waiting = new ArrayList<>(again);
         ended.forEach((task, done) -> {
-            if (!done || job().shape() == Shape.SERVICE) {
+            if (!done || job().service()) {
                 waiting.add(task); // a service's task that ends is started again: only its user ends a service
             }
         });
--- a/src/main/java/org/dunespindle/storage/Replica.java
+++ b/src/main/java/org/dunespindle/storage/Replica.java
@@ -50,11 +50,12 @@
     /** Stamps of keys; negative for a key that was removed then. */
     private final Map<String, Long> stamps = new HashMap<>();
 
-    private final Map<String, List<Placed>> byHost = new HashMap<>();
     private final Map<String, Map<String, MachineRecord>> pages = new HashMap<>();
     /** Machines whose record or allocations changed since they were last asked for. */
     private Set<String> touched = new LinkedHashSet<>();
 
+    private final AllocationIndex allocations = new AllocationIndex(host -> touched.add(host));
+
     private long version;
     private long memberVersion;
     private final Set<String> unreadable = new HashSet<>();
@@ -197,12 +198,12 @@
 
     /** Machines that allocations are on, whether or not they have a record. */
     public Set<String> hostsWithAllocations() {
-        return byHost.keySet();
+        return allocations.hosts();
     }
 
     /** The allocations on one machine. */
     public List<Placed> allocationsOn(String host) {
-        return byHost.getOrDefault(host, List.of());
+        return allocations.on(host);
     }
 
     /** Cancelled jobs that a copy which reaches up to a revision may not show as cancelled. */
@@ -397,7 +398,7 @@
         touched.addAll(hosts.keySet());
         hosts.clear();
         pages.clear();
-        byHost.clear();
+        allocations.clear();
         unreadable.clear();
         cutJobs.clear();
         cancelled.clear();
@@ -524,46 +525,6 @@
         } else if (!visitors.isEmpty()) {
             visitors.remove(id);
         }
-        index(id, before, job);
-    }
-
-    /** Keeps the allocations by machine; a machine is touched only if what should be on it changed. */
-    private void index(String id, Optional<JobRecord> before, Optional<JobRecord> after) {
-        Map<String, List<Allocation>> old = byHost(before);
-        Map<String, List<Allocation>> now = byHost(after);
-        boolean turned = before.isPresent() != after.isPresent()
-                || before.isPresent()
-                        && after.isPresent()
-                        && (before.get().open() != after.get().open()
-                                || before.get().mode() != after.get().mode()
-                                || before.get().attempt() != after.get().attempt());
-        old.forEach((host, allocations) -> {
-            byHost.computeIfPresent(host, (h, list) -> {
-                list.removeIf(p -> p.job().id().equals(id));
-                return list.isEmpty() ? null : list;
-            });
-            if (turned || !allocations.equals(now.get(host))) {
-                touched.add(host);
-            }
-        });
-        now.forEach((host, allocations) -> {
-            List<Placed> list = byHost.computeIfAbsent(host, h -> new ArrayList<>(2));
-            allocations.forEach(c -> list.add(new Placed(after.get(), c)));
-            if (!allocations.equals(old.get(host))) {
-                touched.add(host);
-            }
-        });
-    }
-
-    private static Map<String, List<Allocation>> byHost(Optional<JobRecord> job) {
-        if (job.isEmpty() || job.get().allocations().isEmpty()) {
-            return Map.of();
-        }
-        var map = new HashMap<String, List<Allocation>>();
-        job.get()
-                .allocations()
-                .forEach(c ->
-                        map.computeIfAbsent(c.host(), h -> new ArrayList<>(2)).add(c));
-        return map;
+        allocations.update(id, before, job);
     }
 }
--- a/src/test/java/org/dunespindle/sim/LoopbackCells.java
+++ b/src/test/java/org/dunespindle/sim/LoopbackCells.java
@@ -66,6 +66,7 @@
     private final long origin = System.nanoTime();
     final List<Cell> cells = new ArrayList<>();
     final CellWatch watch;
+    private final Starter starter;
     private final List<Waiting> waiting = new ArrayList<>();
 
     private record Waiting(BooleanSupplier condition, CompletableFuture<Void> met) {}
@@ -74,7 +75,7 @@
     final class Cell implements Surroundings.Outside {
         final String name;
         SimulatedCluster standIns;
-        final Daemon[] daemons = new Daemon[CONTROLLERS];
+        final Running[] controllers = new Running[CONTROLLERS];
         final int[] front = new int[CONTROLLERS];
         final int[] peer = new int[CONTROLLERS];
         final int[] federation = new int[CONTROLLERS];
@@ -154,7 +155,7 @@
                     HOST + ":" + cloudPort,
                     HOST + ":" + statePort,
                     seeds.toString());
-            daemons[node] = new Daemon(Settings.parse(file), Optional.of(new FederationExtension(settings(node))));
+            controllers[node] = starter.start(name, file, settings(node));
         }
 
         private FederationSettings settings(int node) {
@@ -228,7 +229,27 @@
         }
     }
 
+    /** A controller that runs, in this process or in one of its own. */
+    interface Running extends AutoCloseable {
+        @Override
+        void close();
+    }
+
+    /** Starts one controller. */
+    interface Starter {
+        Running start(String cell, JsonNode settings, FederationSettings federation) throws Exception;
+    }
+
+    /** Controllers that are part of this process. */
+    static final Starter IN_PROCESS = (cell, settings, federation) ->
+            new Daemon(Settings.parse(settings), Optional.of(new FederationExtension(federation)))::close;
+
     LoopbackCells(int... machines) throws Exception {
+        this(IN_PROCESS, machines);
+    }
+
+    LoopbackCells(Starter starter, int... machines) throws Exception {
+        this.starter = starter;
         http = new HttpCaller(group.next(), 200, sockets);
         var standIns = new ArrayList<SimulatedCluster>();
         watch = new CellWatch(standIns);
@@ -376,9 +397,9 @@
     @Override
     public void close() {
         for (Cell cell : cells) {
-            for (Daemon daemon : cell.daemons) {
-                if (daemon != null) {
-                    daemon.close();
+            for (Running controller : cell.controllers) {
+                if (controller != null) {
+                    controller.close();
                 }
             }
         }
--- a/src/test/java/org/dunespindle/sim/LoopbackFederationTest.java
+++ b/src/test/java/org/dunespindle/sim/LoopbackFederationTest.java
@@ -29,7 +29,7 @@
             List<String> builds = submitBuilds(cells, a);
             cells.await("a build is on its way", Duration.ofSeconds(60), () -> anyAway(a));
             int killed = cells.on(b::leader);
-            b.daemons[killed].close();
+            b.controllers[killed].close();
 
             cells.await(
                     "all builds are done",
