Federation: a controller that does not lead names the leader for the state of other cells

Need: tried as a new user would, nine controllers as processes: a controller that did not lead called the leaders of all other cells out of contact, since it greets none. Change: it names its leader; users' cancellations under way to a cell are bounded too. Measured: FederationTest, FeaturesTest and AdmissionTest green.

--- a/src/main/java/org/dunespindle/federation/CellContact.java
+++ b/src/main/java/org/dunespindle/federation/CellContact.java
@@ -13,6 +13,9 @@
 final class CellContact {
     static final Duration DEADLINE = Duration.ofMillis(1500);
     private static final int MOST_UNDER_WAY = 6;
+    /** Of requests that users wait for. */
+    private static final int MOST_FOR_USERS = 24;
+
     /** Room told longer ago than this is not offered into. */
     private static final Duration FRESH = Duration.ofSeconds(8);
 
@@ -48,6 +51,11 @@
         return underWay < MOST_UNDER_WAY;
     }
 
+    /** Whether another request that a user waits for may be sent now. */
+    boolean freeForUsers() {
+        return underWay < MOST_FOR_USERS;
+    }
+
     /** Sends a request to the controller that is thought to lead; nothing is told if no answer comes. */
     void call(CellRequest request, Consumer<CellReply> answered, Runnable silent) {
         int asked = preferred;
--- a/src/main/java/org/dunespindle/federation/Federation.java
+++ b/src/main/java/org/dunespindle/federation/Federation.java
@@ -320,7 +320,7 @@
         Delegation delegation = job.delegation().orElseThrow();
         CellContact contact = contacts.get(delegation.cell());
         Optional<FederationRecords.KnownCell> cell = known.cell(delegation.cell());
-        if (contact == null || cell.isEmpty() || self.id().isEmpty()) {
+        if (contact == null || cell.isEmpty() || self.id().isEmpty() || !contact.freeForUsers()) {
             then.accept(Cancellation.UNKNOWN);
             return;
         }
--- a/src/main/java/org/dunespindle/federation/FederationAdmin.java
+++ b/src/main/java/org/dunespindle/federation/FederationAdmin.java
@@ -105,8 +105,12 @@
                 .isPresent()) {
             return "being abandoned";
         }
+        if (!self.mayGiveAway()) {
+            return "watched by the leader"
+                    + context.membership().leader().map(name -> ", ask " + name).orElse("; there is none now");
+        }
         if (contact.silentFor().isEmpty()) {
-            return "not heard of by this controller";
+            return "has never answered";
         }
         return contact.freshGreeting().isPresent() ? "in contact" : "its leader is not in contact";
     }
