--- a/src/test/java/org/dunespindle/federation/AdmissionTest.java
+++ b/src/test/java/org/dunespindle/federation/AdmissionTest.java
@@ -36,10 +36,11 @@
         return new Planner.Host(id, "box", zone, false, SIZE, true, true, Set.of());
     }
 
-    private static RoomSurvey survey(List<JobRecord> jobs, Set<Planner.Market> refused) {
-        var red = new Settings.Team("red", 0, Double.POSITIVE_INFINITY, 4, 10);
-        var snapshot = new Planner.Snapshot(
-                Instant.EPOCH,
+    private static Planner.Snapshot snapshot(
+            Instant now, List<JobRecord> jobs, Set<Planner.Market> refused, double limit) {
+        var red = new Settings.Team("red", 0, Double.POSITIVE_INFINITY, 4, limit);
+        return new Planner.Snapshot(
+                now,
                 jobs,
                 List.of(host("i-1", "east"), host("i-2", "west")),
                 Map.of("red", red),
@@ -53,6 +54,10 @@
                 List.of(),
                 new Targets(List.of()),
                 started -> Duration.ZERO);
+    }
+
+    private static RoomSurvey survey(List<JobRecord> jobs, Set<Planner.Market> refused) {
+        Planner.Snapshot snapshot = snapshot(Instant.EPOCH, jobs, refused, 10);
         return new RoomSurvey(snapshot, Planner.plan(snapshot), List.of(BOX));
     }
 
@@ -150,23 +155,7 @@
     }
 
     private static List<String> placed(List<JobRecord> jobs) {
-        var red = new Settings.Team("red", 0, Double.POSITIVE_INFINITY, 4, 100);
-        var snapshot = new Planner.Snapshot(
-                Instant.EPOCH.plusSeconds(70),
-                jobs,
-                List.of(host("i-1", "east"), host("i-2", "west")),
-                Map.of("red", red),
-                Map.of(),
-                ALL_REFUSED,
-                job -> 1000,
-                Set.of(),
-                Set.of(),
-                true,
-                Set.of(),
-                List.of(),
-                new Targets(List.of()),
-                started -> Duration.ZERO);
-        Planner.Plan plan = Planner.plan(snapshot);
+        Planner.Plan plan = Planner.plan(snapshot(Instant.EPOCH.plusSeconds(70), jobs, ALL_REFUSED, 100));
         assertTrue(plan.bookings().size() <= 1);
         return plan.bookings().stream().map(booking -> booking.job().id()).toList();
     }
--- a/src/test/java/org/dunespindle/sim/FederationTest.java
+++ b/src/test/java/org/dunespindle/sim/FederationTest.java
@@ -124,6 +124,31 @@
         return federation;
     }
 
+    /** Agency builds go before the receiver's own experiments, which give way; work of the same priority there does not. */
+    @Test
+    void priorityHoldsAfterTheMove() {
+        SimulatedFederation federation = filled(2, 2, 2, 2);
+        for (String name : List.of("b", "c")) {
+            SimulatedCluster cell = federation.cell(name);
+            cell.lengthOf = task -> Optional.of(task.job().startsWith("wk-") ? Duration.ofSeconds(5) : LONG);
+            Priority own = name.equals("b") ? Priority.LOW : Priority.URGENT;
+            Submission experiments = job("exp-00000" + name.charAt(0) % 10, "red", Shape.ARRAY, own, 8);
+            federation.sim.after(2000, () -> cell.submit(experiments));
+        }
+        var builds = new ArrayList<String>();
+        for (int i = 0; i < 3; i++) {
+            Submission build = job("wk-00000" + i, "blue", Shape.GANG, Priority.URGENT, 2);
+            builds.add(build.id());
+            federation.sim.after(25_000 + 1000L * i, () -> federation.cell("a").submit(build));
+        }
+        run(federation, 300);
+        assertEquals(List.of(), federation.violations());
+        for (String id : builds) {
+            assertEquals("done", federation.cell("a").lastTold(id), id);
+            assertEquals("b", federation.finishedIn(id), id);
+        }
+    }
+
     @Test
     void usersAreAnsweredByTheirOwnCellAlone() {
         SimulatedFederation federation = withOneBuild(3, Duration.ofSeconds(60));
