Incident: a test of a team over its limit, red; limits checked at every revision

Need: a team had 61 accelerators on machines, its limit is 60.

Every small cluster now checks, at every revision of the store, each team's allocations against its limit, and the bound in a team's record against what is stored when it is written.

--- a/src/test/java/org/dunespindle/sim/ClusterRules.java
+++ b/src/test/java/org/dunespindle/sim/ClusterRules.java
@@ -59,15 +59,15 @@
             }
         }
         if (cluster.mostMachines == 7
-                && (use.getOrDefault("red", 0) > SimulatedCluster.QUOTA_RED
-                        || use.getOrDefault("blue", 0) > SimulatedCluster.QUOTA_BLUE)) {
+                && cluster.shape.limits().entrySet().stream()
+                        .anyMatch(limit -> use.getOrDefault(limit.getKey(), 0) > limit.getValue())) {
             cluster.broken.add("quota: " + use);
         }
     }
 
     /** The limits of teams as settings name them for all but large clusters: accelerators. */
     void accelerators() {
-        if (cluster.mostMachines > ClusterSettings.LARGE) {
+        if (cluster.shape.large()) {
             return;
         }
         var use = new HashMap<String, Double>();
@@ -75,8 +75,8 @@
             Submission job = cluster.jobs.get(t.task.job());
             use.merge(job.team(), job.perTask().gpus(), Double::sum);
         }
-        if (use.getOrDefault("red", 0.0) > SimulatedCluster.QUOTA_RED
-                || use.getOrDefault("blue", 0.0) > SimulatedCluster.QUOTA_BLUE) {
+        if (cluster.shape.limits().entrySet().stream()
+                .anyMatch(limit -> use.getOrDefault(limit.getKey(), 0.0) > limit.getValue())) {
             cluster.broken.add("quota: " + use);
         }
     }
@@ -133,8 +133,8 @@
                     .filter(t -> cluster.jobs.get(t.task.job()).team().equals(job.team()))
                     .count();
             long needs = job.gang() ? job.tasks() - here : 1;
-            boolean underLimit = used + needs
-                    <= (job.team().equals("red") ? SimulatedCluster.QUOTA_RED : SimulatedCluster.QUOTA_BLUE);
+            boolean underLimit =
+                    used + needs <= cluster.shape.limits().getOrDefault(job.team(), SimulatedCluster.QUOTA_BLUE);
             if (isOver || !missing || !underLimit || room(job) < needs) {
                 waitsBesideRoom.remove(job.id());
             } else if (cluster.sim
--- a/src/test/java/org/dunespindle/sim/ClusterSettings.java
+++ b/src/test/java/org/dunespindle/sim/ClusterSettings.java
@@ -23,13 +23,12 @@
         if (cluster.nextLimits != null && cluster.formats[node] == FormatVersion.WITHOUT_FEATURES) {
             ((ObjectNode) deployment.path("state")).set("next", cluster.nextLimits);
         }
-        if (cluster.mostMachines > LARGE) {
-            deployment
-                    .path("teams")
-                    .forEach(team -> ((ObjectNode) team)
-                            .put("gpus", 2.0 * cluster.mostMachines)
-                            .put("gpus_max", 4.0 * cluster.mostMachines));
-        }
+        deployment.path("teams").forEach(team -> limit((ObjectNode) team, cluster.shape));
+        cluster.shape
+                .stateRates()
+                .ifPresent(rates -> ((ObjectNode) deployment.path("state"))
+                        .put("rps", rates.requests())
+                        .put("write_rps", rates.writes()));
         try {
             return Settings.parse(file);
         } catch (MalformedException e) {
@@ -37,6 +36,15 @@
         }
     }
 
+    private static void limit(ObjectNode team, ClusterShape shape) {
+        Integer limit = shape.limits().get(team.path("name").asText());
+        if (shape.large()) {
+            team.put("gpus", 2.0 * shape.mostMachines()).put("gpus_max", 4.0 * shape.mostMachines());
+        } else if (limit != null) {
+            team.put("gpus_max", (double) limit);
+        }
+    }
+
     private static String seedsBeside(int node) {
         var seeds = new StringBuilder();
         for (int k = 0; k < 3; k++) {
--- a/src/test/java/org/dunespindle/sim/LoopbackCells.java
+++ b/src/test/java/org/dunespindle/sim/LoopbackCells.java
@@ -268,7 +268,8 @@
                     shared.connector(),
                     watch,
                     Optional.of(cell));
-            cell.standIns = new SimulatedCluster(surroundings, machines[index], 1, FormatVersion.CELL_TIES);
+            cell.standIns = new SimulatedCluster(
+                    surroundings, ClusterShape.of(machines[index], 1).withFormat(FormatVersion.CELL_TIES));
             standIns.add(cell.standIns);
             cell.serve();
         }
--- a/src/test/java/org/dunespindle/sim/SimulatedCluster.java
+++ b/src/test/java/org/dunespindle/sim/SimulatedCluster.java
@@ -40,6 +40,7 @@
     static final Duration GANG_PEER = Duration.ofSeconds(5);
     static final int QUOTA_RED = 10;
     static final int QUOTA_BLUE = 6;
+    private static final int CONFLICT = 409;
     private static final Duration ANSWER_WITHIN = Duration.ofSeconds(4);
     static final Duration CANCEL = Duration.ofSeconds(30);
     static final List<String> ZONES = List.of("east", "west");
@@ -91,6 +92,7 @@
     /** The limits that the state service announces, to controllers of the newest format only, or null. */
     JsonNode nextLimits;
 
+    final ClusterShape shape;
     final int mostMachines;
     final int nameStep;
     public double loss;
@@ -127,19 +129,25 @@
 
     /** A larger cluster; machines' names may be further apart, so that fewer of them share a record. */
     SimulatedCluster(long seed, int mostMachines, int nameStep) {
-        this(seed, mostMachines, nameStep, FormatVersion.WITHOUT_FEATURES);
+        this(seed, ClusterShape.of(mostMachines, nameStep));
+    }
+
+    /** A cluster of any shape on its own. */
+    SimulatedCluster(long seed, ClusterShape shape) {
+        this(Surroundings.none(new Sim(seed)), shape);
     }
 
     /** The same with controllers that begin with an older stored format. */
     SimulatedCluster(long seed, int mostMachines, int nameStep, int format) {
-        this(Surroundings.none(new Sim(seed)), mostMachines, nameStep, format);
+        this(seed, ClusterShape.of(mostMachines, nameStep).withFormat(format));
     }
 
     /** A cluster that shares time, and knowledge of jobs, with others. */
-    SimulatedCluster(Surroundings surroundings, int mostMachines, int nameStep, int format) {
-        Arrays.fill(formats, format);
-        this.mostMachines = mostMachines;
-        this.nameStep = nameStep;
+    SimulatedCluster(Surroundings surroundings, ClusterShape shape) {
+        Arrays.fill(formats, shape.format());
+        this.shape = shape;
+        this.mostMachines = shape.mostMachines();
+        this.nameStep = shape.nameStep();
         this.surroundings = surroundings;
         jobs = surroundings.jobs();
         done = surroundings.done();
@@ -147,6 +155,10 @@
         cancelled = surroundings.cancelled();
         sim = surroundings.sim();
         state = new StateStandIn(sim);
+        shape.stateRates().ifPresent(rates -> state.limitRates(rates.requests(), rates.writes()));
+        if (!shape.large()) {
+            state.listen(new StoredAllocations(this));
+        }
         if (surroundings.outside().isEmpty()) {
             for (int i = 0; i < 3; i++) {
                 boot(i);
@@ -189,10 +201,21 @@
         }
     }
 
+    /** A machine of a given name that is up from the start. */
+    void provide(String id, String zone, boolean spot) {
+        workers.put(id, new WorkerStandIn(this, id, zone, spot));
+    }
+
     /** How much longer every message takes, and the state service's answers. */
     public int slowMillis;
 
     public int slowStateMillis;
+    /** A controller whose transactions take longer to the state service than its questions, or -1. */
+    public int slowWritesNode = -1;
+
+    public int slowWritesMillis;
+    /** A controller whose transactions the state service refuses as too many, or -1. */
+    public int writesRefusedNode = -1;
     /** How long a certain task runs, if not as long as others. */
     Function<TaskId, Optional<Duration>> lengthOf = p -> Optional.empty();
     /** When the last task of a job completed. */
@@ -260,11 +283,15 @@
         return name.matches("n[0-2]") ? name.charAt(1) - '0' : -1;
     }
 
+    /** The controller that commands a machine, as stored, or -1. */
+    int owner(WorkerStandIn w) {
+        StateStandIn.Row page = state.rows().get("ds/page/" + w.id.substring(0, w.id.length() - 1));
+        return page == null ? -1 : nodeIndex(page.value().path(w.id).path(4).asText());
+    }
+
     /** Whether the controller that commands a machine, as stored, stands still. */
     boolean ownerPauses(WorkerStandIn w) {
-        StateStandIn.Row page = state.rows().get("ds/page/" + w.id.substring(0, w.id.length() - 1));
-        int owner =
-                page == null ? -1 : nodeIndex(page.value().path(w.id).path(4).asText());
+        int owner = owner(w);
         return owner >= 0 && processes[owner].frozen();
     }
 
@@ -329,7 +356,7 @@
                 return result;
             }
             for (int copy = 0; copy < (twice ? 2 : 1); copy++) {
-                int held = peerDelayMillis > 0 && address.startsWith("node") ? sim.random.nextInt(peerDelayMillis) : 0;
+                int held = heldOnTheWay(from, address, target);
                 sim.after(
                         delay() + held + copy * sim.random.nextInt(8000),
                         () -> deliver(owner, from, address, method, target, body, result));
@@ -338,6 +365,13 @@
         };
     }
 
+    private int heldOnTheWay(int from, String address, String target) {
+        if (from == slowWritesNode && target.equals("/txn")) {
+            return slowWritesMillis;
+        }
+        return peerDelayMillis > 0 && address.startsWith("node") ? sim.random.nextInt(peerDelayMillis) : 0;
+    }
+
     private boolean apart(String one, String other) {
         return !zoneCut.isEmpty() && one.equals(zoneCut) != other.equals(zoneCut);
     }
@@ -388,6 +422,7 @@
             reply = from == refusedNode && address.startsWith("state")
                     ? new StateStandIn.Reply(503, MessagePackCodec.map())
                     : reply(
+                            from,
                             address,
                             method,
                             target,
@@ -399,6 +434,7 @@
         } catch (MalformedException e) {
             throw new IllegalStateException(e);
         }
+        noteConflict(from, reply);
         if (reply == null || sim.random.nextDouble() < loss) {
             return; // executed, or not there; either way no answer comes
         }
@@ -407,10 +443,18 @@
         sim.after(delay() + slow, () -> owner.arrive(() -> result.complete(new HttpAnswer(reply.status(), bytes))));
     }
 
+    private void noteConflict(int from, StateStandIn.Reply reply) {
+        if (reply != null && reply.status() == CONFLICT) {
+            reply.body().path("failed").forEach(key -> met("conflict of n" + from + " about " + key.asText()));
+        }
+    }
+
     private StateStandIn.Reply reply(
-            String address, String method, String target, JsonNode body, byte[] raw, WorkerStandIn w) {
+            int from, String address, String method, String target, JsonNode body, byte[] raw, WorkerStandIn w) {
         if (address.startsWith("state")) {
-            return state.answer(method, target, body);
+            return from == writesRefusedNode && target.equals("/txn")
+                    ? StateStandIn.tooMany()
+                    : state.answer(method, target, body);
         }
         if (address.startsWith("cloud")) {
             return cloud.answer(target, body);
--- a/src/test/java/org/dunespindle/sim/SimulatedFederation.java
+++ b/src/test/java/org/dunespindle/sim/SimulatedFederation.java
@@ -93,7 +93,8 @@
                     (node, process, context) -> connect(index, node, process, context),
                     watch,
                     Optional.empty());
-            cells.add(new SimulatedCluster(surroundings, machines[cell], 1, FormatVersion.CELL_TIES));
+            cells.add(new SimulatedCluster(
+                    surroundings, ClusterShape.of(machines[cell], 1).withFormat(FormatVersion.CELL_TIES)));
         }
         sim.after(500, this::watch);
     }
--- a/src/test/java/org/dunespindle/sim/StateStandIn.java
+++ b/src/test/java/org/dunespindle/sim/StateStandIn.java
@@ -5,21 +5,26 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.dunespindle.protocol.MessagePackCodec;
 
-/** The state service as the protocol describes it. Its write rate is unlimited until a test lowers it. */
+/** The state service as the protocol describes it. Its rates are unlimited until a test sets them. */
 public final class StateStandIn {
     private static final int MOST_BYTES = 64 << 10;
     private int txnOps = 16;
     private int valueBytes = 8 << 10;
-    private double writesPerSecond = Double.POSITIVE_INFINITY;
-    private double writesLeft = Double.POSITIVE_INFINITY;
-    private Duration filledAt = Duration.ZERO;
+    private Optional<RateLimit> requests = Optional.empty();
+    private Optional<RateLimit> writes = Optional.empty();
     /** Transactions refused for what they hold. */
     public int refusedAsTheyAre;
+    /** Requests and transactions refused since they came too fast. */
+    public int refusedTooFast;
+
+    private Optional<Listener> listener = Optional.empty();
 
     private final Sim sim;
     private final TreeMap<String, Row> rows = new TreeMap<>();
@@ -29,6 +34,15 @@
     private long nextLease = 1;
     public boolean out;
 
+    /** Is told of what becomes of the store. */
+    interface Listener {
+        /** A transaction was applied. */
+        void applied(long revision, Map<String, Optional<JsonNode>> changes);
+
+        /** The store holds something else from now on. */
+        void putBack(Map<String, Row> rows);
+    }
+
     /** A key's value, revision and lease. */
     record Row(JsonNode value, long stamp, long lease) {}
 
@@ -48,6 +62,10 @@
             return new Reply(503, MessagePackCodec.map());
         }
         expire();
+        if (requests.filter(limit -> !limit.allows(1)).isPresent()) {
+            refusedTooFast++;
+            return tooMany();
+        }
         String path = target.contains("?") ? target.substring(0, target.indexOf('?')) : target;
         if (path.equals("/txn")) {
             return txn(body);
@@ -142,6 +160,7 @@
         epoch = before.values().stream().mapToLong(Row::stamp).max().orElse(0) + 1;
         log.clear();
         leases.clear();
+        listener.ifPresent(told -> told.putBack(rows));
     }
 
     private void remove(String key) {
@@ -153,29 +172,26 @@
     void lower(int newValueBytes, int newTxnOps, double newWritesPerSecond) {
         valueBytes = newValueBytes;
         txnOps = newTxnOps;
-        writesPerSecond = newWritesPerSecond;
-        writesLeft = newWritesPerSecond;
-        filledAt = sim.now();
+        writes = Optional.of(new RateLimit(sim, newWritesPerSecond));
     }
 
-    /** Transactions with failing conditions count as well. */
-    private boolean tooFast(int changes) {
-        if (Double.isInfinite(writesPerSecond)) {
-            return false;
-        }
-        double passed = sim.now().minus(filledAt).toNanos() / 1e9;
-        writesLeft = Math.min(writesPerSecond, writesLeft + passed * writesPerSecond);
-        filledAt = sim.now();
-        if (writesLeft < changes) {
-            return true;
-        }
-        writesLeft -= changes;
-        return false;
+    /** From now on the service answers 429 to whatever comes faster than these rates, with bursts of one second's worth. */
+    void limitRates(double requestsPerSecond, double writesPerSecond) {
+        requests = Optional.of(new RateLimit(sim, requestsPerSecond));
+        writes = Optional.of(new RateLimit(sim, writesPerSecond));
+    }
+
+    /** Has somebody told of all that is stored from now on. */
+    void listen(Listener newListener) {
+        listener = Optional.of(newListener);
     }
 
     private Reply txn(JsonNode body) {
-        if (tooFast(body.path("apply").size())) {
-            return new Reply(429, MessagePackCodec.map().put("error", "too many writes"));
+        int changes = body.path("apply").size();
+        // Transactions with failing conditions count as well.
+        if (writes.filter(limit -> !limit.allows(changes)).isPresent()) {
+            refusedTooFast++;
+            return tooMany();
         }
         ObjectNode conflict = MessagePackCodec.map().put("epoch", epoch);
         for (JsonNode g : body.path("guards")) {
@@ -218,6 +234,24 @@
                 log.add(e);
             }
         }
+        listener.ifPresent(told -> told.applied(epoch, changesOf(body)));
         return new Reply(200, MessagePackCodec.map().put("epoch", epoch));
     }
+
+    /** The answer to what comes faster than the service takes it. */
+    static Reply tooMany() {
+        return new Reply(429, MessagePackCodec.map().put("error", "too many"));
+    }
+
+    private static Map<String, Optional<JsonNode>> changesOf(JsonNode body) {
+        var changes = new LinkedHashMap<String, Optional<JsonNode>>();
+        for (JsonNode change : body.path("apply")) {
+            if (change.has("remove")) {
+                changes.put(change.path("remove").asText(), Optional.empty());
+            } else {
+                changes.put(change.path("write").asText(), Optional.of(change.path("v")));
+            }
+        }
+        return changes;
+    }
 }
--- /dev/null
+++ b/src/test/java/org/dunespindle/sim/StoredAllocations.java
@@ -0,0 +1,89 @@
+package org.dunespindle.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.dunespindle.storage.JobRecord;
+import org.dunespindle.storage.Keys;
+import org.dunespindle.storage.Replica;
+import org.dunespindle.storage.Txn;
+
+/**
+ * What is allocated to each team at every revision of the store: a limit broken there is a fault even where the tasks
+ * never reach a machine, and so is a team's record whose bound is below the use that is stored when it is written.
+ */
+final class StoredAllocations implements StateStandIn.Listener {
+    private static final double ROUNDING = 1e-6;
+    private final SimulatedCluster cluster;
+    private Replica copy;
+    /** What was the most of each team so far that was beyond its limit. */
+    private final Map<String, Double> excess = new TreeMap<>();
+
+    StoredAllocations(SimulatedCluster cluster) {
+        this.cluster = cluster;
+        this.copy = empty();
+    }
+
+    private Replica empty() {
+        return new Replica(null, cluster.sim.new Process(), Duration.ZERO, () -> {});
+    }
+
+    @Override
+    public void applied(long revision, Map<String, Optional<JsonNode>> changes) {
+        var txn = new Txn();
+        boolean ofJobs = false;
+        for (var change : changes.entrySet()) {
+            change.getValue().ifPresentOrElse(v -> txn.write(change.getKey(), v), () -> txn.remove(change.getKey()));
+            ofJobs |= change.getKey().startsWith(Keys.JOB) || change.getKey().startsWith(Keys.PART);
+        }
+        copy.adopt(txn, revision);
+        if (ofJobs) {
+            checkLimits(revision);
+        }
+        changes.forEach((key, value) -> {
+            if (key.startsWith(Keys.TEAM) && value.isPresent()) {
+                checkBound(key.substring(Keys.TEAM.length()), value.get(), revision);
+            }
+        });
+    }
+
+    @Override
+    public void putBack(Map<String, StateStandIn.Row> rows) {
+        copy = empty();
+        rows.forEach((key, row) -> copy.adopt(new Txn().write(key, row.value()), row.stamp()));
+    }
+
+    private void checkBound(String team, JsonNode ledger, long revision) {
+        double stored = gpus().getOrDefault(team, 0.0);
+        double bound = ledger.path("gpus").asDouble();
+        if (stored > bound + ROUNDING) {
+            cluster.broken.add("stored bound: %s may have %.0f by its record, but has %.0f at revision %d, %d ms"
+                    .formatted(team, bound, stored, revision, cluster.sim.now().toMillis()));
+        }
+    }
+
+    private void checkLimits(long revision) {
+        gpus().forEach((team, gpus) -> {
+            int limit = cluster.shape.limits().getOrDefault(team, Integer.MAX_VALUE);
+            if (gpus > limit && gpus > excess.getOrDefault(team, 0.0)) {
+                excess.put(team, gpus);
+                cluster.broken.add("stored quota: %s has %.0f of %d at revision %d, %d ms"
+                        .formatted(
+                                team, gpus, limit, revision, cluster.sim.now().toMillis()));
+            }
+        });
+    }
+
+    private Map<String, Double> gpus() {
+        var sums = new TreeMap<String, Double>();
+        for (JobRecord job : copy.livingJobs()) {
+            sums.merge(
+                    job.job().team(),
+                    job.job().perTask().gpus() * job.allocations().size(),
+                    Double::sum);
+        }
+        return sums;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dunespindle/sim/TeamLimitTest.java
@@ -0,0 +1,168 @@
+package org.dunespindle.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.dunespindle.coordination.Membership;
+import org.dunespindle.protocol.MalformedException;
+import org.dunespindle.protocol.MessagePackCodec;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.protocol.Submission;
+import org.dunespindle.storage.FormatVersion;
+import org.dunespindle.storage.JobRecord;
+import org.dunespindle.storage.Keys;
+import org.dunespindle.storage.Replica;
+import org.dunespindle.storage.Txn;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Incident: a team had 61 accelerators on machines, its limit is 60.
+ *
+ * <p>Seen: two arrays of the team were placed by several controllers at once while writes to the state service were
+ * scarce; conflicts named the team's record and a job together; no controller had ended, no token had changed.
+ *
+ * <p>How it came about: a controller's placement of some tasks of a job waits for its answer. Meanwhile another
+ * controller stores most of that job's tasks and a new record of the team. The first one reads both, but goes on
+ * counting the job as its own placement would leave it. It takes the new record for what it knows all about, and writes a bound for
+ * a second job that leaves out what the other one has stored.
+ *
+ * <p>Cause: a record that was only proposed stood in for the stored one where a limit is at stake. Proof: the first test here
+ * brings the order of events about and had 33 of 24 accelerators allocated before the repair.
+ */
+class TeamLimitTest {
+    private static final int LIMIT = 24;
+    private static final int MACHINES = 30;
+    /** Machines with a record each, so that they are hashed one by one. */
+    private static final int NAME_STEP = 10;
+
+    /** So many that the limit is broken if they are not counted. */
+    private static final int MOST_OF_THEM = 12;
+
+    private static final Duration RUNS = Duration.ofSeconds(60);
+
+    static LongStream seeds() {
+        long from = Long.getLong("limits.from", 30);
+        return LongStream.range(from, from + Integer.getInteger("limits.count", 24));
+    }
+
+    /** Says which controller machines and jobs belong to while all three live; that follows from their names alone. */
+    private static Membership threeControllers() {
+        var clock = new Sim(0).new Process();
+        var replica = new Replica(null, clock, Duration.ZERO, () -> {});
+        for (int node = 0; node < 3; node++) {
+            replica.adopt(new Txn().write(Keys.member("n" + node), MessagePackCodec.map()), node + 1);
+        }
+        return new Membership("n0", FormatVersion.WITHOUT_FEATURES, null, replica, clock);
+    }
+
+    /** Of all names of a form, the first ones that belong to a controller. */
+    private static List<String> namesOf(
+            int node, String form, int step, Function<String, Optional<String>> owner, int count) {
+        return IntStream.iterate(1, i -> i + step)
+                .mapToObj(form::formatted)
+                .filter(name -> owner.apply(name).equals(Optional.of("n" + node)))
+                .limit(count)
+                .toList();
+    }
+
+    /** One controller has all machines in the west, two ordinary ones and three spot ones; another has five in the east. */
+    private static SimulatedCluster cluster(long seed, int west, int east) {
+        var cluster = new SimulatedCluster(
+                seed, ClusterShape.of(MACHINES, NAME_STEP).withLimits(Map.of("red", LIMIT, "blue", LIMIT)));
+        Membership membership = threeControllers();
+        List<String> ofWest = namesOf(west, "i-%04d", NAME_STEP, membership::hashed, 5);
+        ofWest.forEach(id -> cluster.provide(id, "west", ofWest.indexOf(id) >= 2));
+        namesOf(east, "i-%04d", NAME_STEP, membership::hashed, 5).forEach(id -> cluster.provide(id, "east", false));
+        return cluster;
+    }
+
+    private static Submission array(String id, int tasks, Optional<String> zone, boolean spot) {
+        return new Submission(
+                id,
+                "array",
+                "red",
+                Shape.ARRAY,
+                Priority.LOW,
+                tasks,
+                new Resources(1, 1, 1),
+                Optional.empty(),
+                zone,
+                false,
+                false,
+                spot,
+                "image-0",
+                1,
+                RUNS,
+                Duration.ZERO,
+                Duration.ZERO,
+                Optional.empty());
+    }
+
+    private static int allocated(SimulatedCluster cluster, String job) {
+        StateStandIn.Row row = cluster.state.rows().get(Keys.job(job));
+        try {
+            return row == null
+                    ? 0
+                    : JobRecord.parse(job, row.value()).allocations().size();
+        } catch (MalformedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The incident, step by step. */
+    @ParameterizedTest
+    @ValueSource(longs = {4, 8, 10, 15, 21, 26})
+    void whatOthersStoredCountsWhileAnOwnPlacementOfThatJobIsUnderWay(long seed) {
+        int refused = (int) (seed % 3);
+        int other = (refused + 1) % 3;
+        List<String> jobs = namesOf(refused, "wk-%06d", 1, threeControllers()::homeOf, 3);
+        String first = jobs.get(0);
+        String shared = jobs.get(1);
+        String last = jobs.get(2);
+        SimulatedCluster cluster = cluster(seed, refused, other);
+        cluster.taskTime = Optional.of(RUNS);
+        cluster.usersAt = other;
+        cluster.sim.run(Duration.ofSeconds(15));
+        // Opens the shares: from now on each controller may place up to seven tasks without writing the team's record.
+        cluster.submit(array(first, 1, Optional.of("west"), false));
+        cluster.sim.run(cluster.sim.now().plusSeconds(6));
+        assertTrue(cluster.begunAt.containsKey(first));
+        // One controller has room for seven of these and places them, but cannot write; another stores all of them.
+        cluster.writesRefusedNode = refused;
+        cluster.submit(array(shared, 20, Optional.empty(), false));
+        cluster.sim.run(cluster.sim.now().plusSeconds(5));
+        assertTrue(allocated(cluster, shared) >= MOST_OF_THEM, () -> "stored by then: " + allocated(cluster, shared));
+        // Only the first one has room for these.
+        cluster.submit(array(last, 12, Optional.of("west"), true));
+        cluster.sim.run(cluster.sim.now().plusMillis(1500));
+        cluster.writesRefusedNode = -1;
+        cluster.sim.run(cluster.sim.now().plusSeconds(6));
+        assertTrue(
+                cluster.met.containsKey("conflict of n" + refused + " about " + Keys.job(shared)),
+                () -> "its placement was never overtaken: " + cluster.met);
+        assertEquals(List.of(), cluster.broken);
+        cluster.sim.run(cluster.sim.now().plusSeconds(180));
+        assertEquals(List.of(), cluster.broken);
+        assertEquals("done", cluster.lastTold(last));
+    }
+
+    /** More seeds than the usual few are played with {@code mvn test -Dtest=TeamLimitTest -Dlimits.from=1000 -Dlimits.count=500}. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noTeamHasMoreThanItsLimitWhileWritesAreScarce(long seed) {
+        var day = new TightLimitsDay(seed);
+        assertEquals(List.of(), day.play(), () -> seed + ": " + day.story());
+        assertEquals(List.of(), day.unfinished(), () -> seed + ": " + day.story());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dunespindle/sim/TightLimitsDay.java
@@ -0,0 +1,174 @@
+package org.dunespindle.sim;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.dunespindle.protocol.Priority;
+import org.dunespindle.protocol.Resources;
+import org.dunespindle.protocol.Shape;
+import org.dunespindle.protocol.Submission;
+
+/**
+ * A day on which every team wants more than its limit while there is room on the machines, drawn from a seed: arrays whose
+ * tasks all three controllers place, a state service whose writes are scarce and whose answers are slow.
+ */
+final class TightLimitsDay {
+    private static final int MACHINES = 30;
+    private static final Duration LAST_JOB = Duration.ofSeconds(30);
+    private static final Duration OVER = Duration.ofSeconds(90);
+    private static final Duration END = Duration.ofSeconds(600);
+    private static final double REQUESTS = 250;
+
+    /** What goes wrong beside the scarce writes. */
+    enum Trouble {
+        NONE,
+        SLOW_STATE,
+        SLOW_WRITES,
+        REFUSED_TOO_FAST,
+        STATE_REFUSES,
+        STANDS_STILL,
+        LEADER_ENDS,
+        LATE_WRITES,
+        CANCELLATIONS
+    }
+
+    private final SimulatedCluster cluster;
+    private final Random random;
+    private final List<String> ids = new ArrayList<>();
+    private final List<String> story = new ArrayList<>();
+
+    TightLimitsDay(long seed) {
+        random = new Random(seed * 37 + 11);
+        int red = 30 + random.nextInt(50);
+        int blue = 16 + random.nextInt(30);
+        double writes = 12 + random.nextInt(14);
+        cluster = new SimulatedCluster(
+                seed,
+                ClusterShape.of(MACHINES, 1 + 9 * random.nextInt(2))
+                        .withLimits(Map.of("red", red, "blue", blue))
+                        .withStateRates(REQUESTS, writes));
+        story.add("limits %d and %d, %.0f changes/s".formatted(red, blue, writes));
+        cluster.slowStateMillis = 20 + random.nextInt(300);
+        cluster.lengthOf = task -> Optional.of(Duration.ofSeconds(6 + task.index() * 7L % 17));
+        cluster.provide(MACHINES);
+        submitJobs();
+        add(Trouble.values()[(int) (seed % Trouble.values().length)]);
+        add(Trouble.values()[random.nextInt(Trouble.values().length)]);
+    }
+
+    SimulatedCluster cluster() {
+        return cluster;
+    }
+
+    List<String> story() {
+        return story;
+    }
+
+    /** Plays the day and says what was wrong. */
+    List<String> play() {
+        cluster.sim.after(OVER, () -> cluster.calm = true);
+        cluster.sim.run(END);
+        return cluster.broken;
+    }
+
+    /** Whether every job that was not called off is done. */
+    List<String> unfinished() {
+        return ids.stream()
+                .filter(id -> !List.of("done", "cancelled").contains(cluster.lastTold(id)))
+                .toList();
+    }
+
+    private void submitJobs() {
+        long at = 3000;
+        while (at < LAST_JOB.toMillis()) {
+            Submission job = draw("wk-%06d".formatted(ids.size()));
+            ids.add(job.id());
+            cluster.sim.after(at, () -> cluster.submit(job));
+            at += 60 + random.nextInt(350);
+        }
+    }
+
+    private Submission draw(String id) {
+        boolean gang = random.nextInt(8) == 0;
+        return new Submission(
+                id,
+                gang ? "gang" : "array",
+                random.nextInt(3) > 0 ? "red" : "blue",
+                gang ? Shape.GANG : Shape.ARRAY,
+                random.nextBoolean() ? Priority.LOW : Priority.NORMAL,
+                gang ? 2 + random.nextInt(5) : drawTasks(),
+                new Resources(1, 1, 1),
+                Optional.empty(),
+                Optional.empty(),
+                false,
+                false,
+                true,
+                "image-" + random.nextInt(3),
+                1,
+                Duration.ofSeconds(8),
+                Duration.ZERO,
+                Duration.ZERO,
+                Optional.empty());
+    }
+
+    /** Most arrays are small; some are as large as several machines. */
+    private int drawTasks() {
+        return random.nextInt(5) == 0 ? 10 + random.nextInt(20) : 2 + random.nextInt(7);
+    }
+
+    private void add(Trouble trouble) {
+        Duration at = Duration.ofSeconds(5 + random.nextInt(30));
+        cluster.sim.after(at, () -> {
+            story.add(cluster.sim.now().toMillis() + " ms: " + trouble);
+            begin(trouble);
+        });
+    }
+
+    private void begin(Trouble trouble) {
+        switch (trouble) {
+            case SLOW_STATE -> {
+                int usual = cluster.slowStateMillis;
+                cluster.slowStateMillis = 300 + random.nextInt(900);
+                after(10_000 + random.nextInt(25_000), () -> cluster.slowStateMillis = usual);
+            }
+            case SLOW_WRITES -> {
+                cluster.slowWritesNode = random.nextInt(3);
+                cluster.slowWritesMillis = 300 + random.nextInt(1200);
+                after(15_000 + random.nextInt(40_000), () -> cluster.slowWritesNode = -1);
+            }
+            case REFUSED_TOO_FAST -> {
+                // Others use the service too, so that it refuses what keeps to the controllers' share.
+                double share = 0.3 + random.nextDouble() * 0.4;
+                ClusterShape.StateRates rates = cluster.shape.stateRates().orElseThrow();
+                cluster.state.limitRates(rates.requests() * share, rates.writes() * share);
+                after(
+                        10_000 + random.nextInt(20_000),
+                        () -> cluster.state.limitRates(rates.requests(), rates.writes()));
+            }
+            case STATE_REFUSES -> {
+                cluster.state.out = true;
+                after(2000 + random.nextInt(8000), cluster.state::recover);
+            }
+            case STANDS_STILL -> cluster.freeze(random.nextInt(3), Duration.ofMillis(2000 + random.nextInt(12_000)));
+            case LEADER_ENDS ->
+                cluster.crash(Math.max(0, cluster.leader()), Duration.ofMillis(100 + random.nextInt(4000)));
+            case LATE_WRITES -> {
+                cluster.lateWrites = 0.05 + random.nextDouble() * 0.25;
+                after(10_000 + random.nextInt(25_000), () -> cluster.lateWrites = 0);
+            }
+            case CANCELLATIONS ->
+                ids.stream()
+                        .filter(id -> cluster.lastTold(id).equals("running"))
+                        .limit(3)
+                        .forEach(cluster::cancel);
+            default -> {}
+        }
+    }
+
+    private void after(long millis, Runnable end) {
+        cluster.sim.after(millis, end);
+    }
+}
