A team's use counts what is stored, never a proposed record in its place

Cause: a controller summed a team's use over its jobs as its own proposals would leave them. While a placement of some tasks of a job waited or was under way, its record stood in for the stored one; tasks that another controller stored meanwhile, with a new record of the team, were left out of the sum, while the new record counted as known. A second job then wrote a bound that was too low, and shares that were too large.

Change: ProjectedJob holds the stored and the expected record apart; TeamUse can only be summed from what is stored together with what is under way beside it, and is what limits are checked against: in placements, plans (a gang's whole ask), and room told to other cells. Room of hidden allocations is taken too. TeamAccounts takes the account with a team's record out of Placements, tells each change of a record and each refusal with what it rested on, and shows the account in 'teams'. TeamLedger says why it waits.

--- a/src/main/java/org/dunespindle/coordination/Admin.java
+++ b/src/main/java/org/dunespindle/coordination/Admin.java
@@ -29,6 +29,7 @@
     private final Membership membership;
     private final Committer committer;
     private final MachineWriter machineWriter;
+    private final TeamAccounts teamAccounts;
     private final Decisions decisions;
     private final Controller controller;
     private final JobExchange exchange;
@@ -41,6 +42,7 @@
             ControllerContext context,
             Committer committer,
             MachineWriter machineWriter,
+            TeamAccounts teamAccounts,
             Controller controller,
             JobExchange exchange,
             Map<String, Histogram> latencies) {
@@ -50,6 +52,7 @@
         this.decisions = context.decisions();
         this.committer = committer;
         this.machineWriter = machineWriter;
+        this.teamAccounts = teamAccounts;
         this.controller = controller;
         this.exchange = exchange;
         this.latencies = latencies;
@@ -189,10 +192,10 @@
     }
 
     private void teams(ObjectNode n) {
-        Map<String, Resources> use = Planner.use(replica.livingJobs());
+        TeamUse use = TeamUse.stored(replica);
         var list = n.putArray("teams");
         settings.teams().values().forEach(t -> {
-            Resources r = use.getOrDefault(t.name(), Resources.NONE);
+            Resources r = use.of(t.name());
             ObjectNode o = list.addObject()
                     .put("name", t.name())
                     .put("cpusUsed", r.cpus())
@@ -205,6 +208,7 @@
             if (Double.isFinite(t.gpusMax())) {
                 o.put("gpusMost", t.gpusMax());
             }
+            teamAccounts.show(t.name(), o.putObject("ledger"));
         });
     }
 
--- a/src/main/java/org/dunespindle/coordination/Controller.java
+++ b/src/main/java/org/dunespindle/coordination/Controller.java
@@ -154,7 +154,8 @@
         this.loadLog = new LoadLog(context, heartbeatHandler, workerClient, committer, state, rounds, plans);
         this.connectivity = new WorkerConnectivity(context, workerClient, peers);
         this.exchange = connector.apply(exchangeContext(context));
-        this.admin = new Admin(context, committer, machineWriter, this, exchange, latencies());
+        this.admin =
+                new Admin(context, committer, machineWriter, placements.teamAccounts(), this, exchange, latencies());
         this.userApi = new UserApi(context, state, committer, catalog::types, accepts, exchange);
     }
 
--- a/src/main/java/org/dunespindle/coordination/Outcomes.java
+++ b/src/main/java/org/dunespindle/coordination/Outcomes.java
@@ -106,7 +106,7 @@
         }
         lookAgainAt = timeline.now().plus(LOOK_AT_TEAMS_EVERY);
         tightTeams.clear();
-        Planner.use(replica.livingJobs()).forEach((name, use) -> {
+        TeamUse.stored(replica).forEach((name, use) -> {
             Settings.Team team = settings.teams().get(name);
             if (team != null && (use.gpus() > TIGHT * team.gpusMax() || use.cpus() > TIGHT * team.cpusMax())) {
                 tightTeams.add(name);
--- a/src/main/java/org/dunespindle/coordination/Placements.java
+++ b/src/main/java/org/dunespindle/coordination/Placements.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 import org.dunespindle.protocol.Resources;
 import org.dunespindle.protocol.Settings;
@@ -45,22 +46,10 @@
     private final Preemptions preemptions;
     private final WorkerClient workerClient;
     private final JobRecordWriter jobWriter;
+    private final TeamAccounts teamAccounts;
     /** Records proposed but not stored yet: their room is taken, or another job would be booked on it too. */
     private final Map<String, JobRecord> proposed = new HashMap<>();
 
-    private final Map<String, Spending> spending = new HashMap<>();
-
-    /** What was placed under a team's record as it stands. */
-    private static final class Spending {
-        final long stamp;
-        Resources spent = Resources.NONE;
-        Resources unsure = Resources.NONE;
-
-        Spending(long stamp) {
-            this.stamp = stamp;
-        }
-    }
-
     Placements(
             ControllerContext context,
             Committer committer,
@@ -80,17 +69,29 @@
         this.outcomes = outcomes;
         this.preemptions = preemptions;
         this.workerClient = workerClient;
+        this.teamAccounts = new TeamAccounts(context, committer);
         this.takesTasks = takesTasks;
     }
 
-    /** A job as it will be once what is proposed for it is stored. */
-    JobRecord ahead(JobRecord job) {
-        return preemptions.marked(proposed.getOrDefault(job.id(), job));
+    /** This controller's account with each team's limit. */
+    TeamAccounts teamAccounts() {
+        return teamAccounts;
+    }
+
+    /** The living jobs as stored, and as they will be if what is proposed here is stored. */
+    ProjectedJobs projection() {
+        var jobs = new ArrayList<ProjectedJob>();
+        replica.livingJobs().forEach(stored -> jobs.add(projected(stored)));
+        return new ProjectedJobs(jobs);
+    }
+
+    private ProjectedJob projected(JobRecord stored) {
+        return new ProjectedJob(stored, preemptions.marked(proposed.getOrDefault(stored.id(), stored)));
     }
 
     /** One transaction per booking, guarded by the job, its machines and its team's ledger. */
     void place(Planner.Plan plan) {
-        Map<String, Resources> use = null;
+        TeamUse use = null;
         for (Planner.Booking b : plan.bookings()) {
             // What would only queue is decided anew later, for more tasks at once: so batches widen with the load.
             if (committer.waiting() >= (b.job().job().gang() ? MOST_WAITING_GANGS : MOST_WAITING)) {
@@ -102,11 +103,10 @@
             }
             Map<Integer, String> places = ownPart(b);
             if (!places.isEmpty()) {
-                if (use == null) {
-                    var jobs = new ArrayList<JobRecord>();
-                    replica.livingJobs().forEach(j -> jobs.add(ahead(j)));
-                    use = Planner.use(jobs);
-                }
+                // Others may have stored more of a job, and a new record of its team, since its placement was proposed
+                // here:
+                // where the limit is at stake a proposed record must not stand in for the stored one.
+                use = use == null ? projection().use() : use;
                 place(b.job(), places, use);
             }
         }
@@ -133,7 +133,7 @@
         return places;
     }
 
-    private void place(JobRecord job, Map<Integer, String> wanted, Map<String, Resources> use) {
+    private void place(JobRecord job, Map<Integer, String> wanted, TeamUse use) {
         var txn = new Txn();
         List<Reconciler.Event> told = new ArrayList<>();
         JobRecord folded = outcomes.fold(job, txn, told);
@@ -141,68 +141,26 @@
         if (places.isEmpty()) {
             return; // some of its tasks must end first
         }
-        String team = job.job().team();
         Resources need = job.job().perTask().times(places.size());
-        Resources used = use.getOrDefault(team, Resources.NONE);
-        Spending spent = spending(team);
-        if (!settings.teams().get(team).withinLimit(used.plus(need)) || !allowedByTeam(txn, team, spent, used, need)) {
+        Optional<TeamAccounts.Grant> grant = teamAccounts.ask(txn, job, use, need);
+        if (grant.isEmpty()) {
             return;
         }
         JobRecord placed = addPlacement(txn, job, folded, places);
         if (!txn.fits(settings.state().lowest().txnOps())) {
             return;
         }
-        use.merge(team, need, Resources::plus);
-        spent.spent = spent.spent.plus(need);
+        use.add(job.job(), places.size());
+        grant.get().proposed();
         tell(job, places.size());
         propose(txn, job.id(), placed, result -> {
+            grant.get().settled(result);
             if (result instanceof TxnResult.Applied) {
                 told.forEach(event -> outcomes.tell(job, event));
-            } else if (result instanceof TxnResult.Unknown) {
-                spent.unsure = spent.unsure.plus(need);
-            } else {
-                spent.spent = spent.spent.minus(need);
             }
         });
     }
 
-    private Spending spending(String team) {
-        long stamp = replica.stamp(Keys.team(team));
-        return spending.compute(team, (t, old) -> old != null && old.stamp == stamp ? old : new Spending(stamp));
-    }
-
-    /** Adds to a transaction what the team's record asks for; false if nothing may be placed now. */
-    private boolean allowedByTeam(Txn txn, String team, Spending spent, Resources used, Resources need) {
-        String key = Keys.team(team);
-        // A process that started after the record was written can't know what an earlier one of its name placed under
-        // it.
-        boolean entitled = spent.stamp > replica.stamp(Keys.INCARNATION + settings.nodeName());
-        var view = new TeamLedger.View(
-                settings.teams().get(team),
-                settings.seeds().size() + 1,
-                TeamLedger.Entry.parse(replica.value(key)),
-                entitled,
-                spent.spent,
-                spent.unsure,
-                replica.syncedTo() >= spent.stamp,
-                used);
-        TeamLedger.Way way = TeamLedger.way(view, need);
-        if (way instanceof TeamLedger.Way.Close close) {
-            var closing =
-                    new Txn().guard(key, spent.stamp).write(key, close.entry().toNode());
-            committer.propose(Committer.Lane.PLACING, closing, r -> {});
-            return false;
-        }
-        if (way instanceof TeamLedger.Way.Wait) {
-            return false;
-        }
-        txn.guard(key, spent.stamp);
-        if (way instanceof TeamLedger.Way.Write write) {
-            txn.write(key, write.entry().toNode());
-        }
-        return true;
-    }
-
     private JobRecord addPlacement(Txn txn, JobRecord job, JobRecord folded, Map<Integer, String> places) {
         JobRecord placed = folded.placed(places);
         if (job.job().gang() && job.job().tasks() == 1) {
--- a/src/main/java/org/dunespindle/coordination/PlanSnapshots.java
+++ b/src/main/java/org/dunespindle/coordination/PlanSnapshots.java
@@ -74,12 +74,12 @@
     /** The state as it is known now. */
     Planner.Snapshot now() {
         boolean leads = context.membership().leads();
-        var jobs = new ArrayList<JobRecord>();
-        context.replica().livingJobs().forEach(job -> jobs.add(placements.ahead(job)));
+        ProjectedJobs projection = placements.projection();
+        List<JobRecord> jobs = projection.expected();
         headroom.observe(jobs);
         return new Planner.Snapshot(
                 context.timeline().wallTime(),
-                jobs,
+                projection,
                 hosts(leads),
                 context.settings().teams(),
                 places,
--- a/src/main/java/org/dunespindle/coordination/PlanState.java
+++ b/src/main/java/org/dunespindle/coordination/PlanState.java
@@ -31,7 +31,7 @@
     private final Planner.Snapshot snapshot;
     private final List<MachineRoom> machines = new ArrayList<>();
     private final Map<String, MachineRoom> byId;
-    private final Map<String, Resources> use;
+    private final TeamUse use;
     private final List<Planner.Booking> bookings = new ArrayList<>();
     private final List<Planner.Eviction> evictions = new ArrayList<>();
     private final List<Planner.Eviction> moves = new ArrayList<>();
@@ -67,7 +67,7 @@
 
     PlanState(Planner.Snapshot snapshot) {
         this.snapshot = snapshot;
-        this.use = Planner.use(snapshot.jobs());
+        this.use = snapshot.projection().use();
         snapshot.ended().forEach(ended -> jobsWithEnded.add(ended.job()));
         byId = new HashMap<>(snapshot.hosts().size() * 2);
         for (Planner.Host host : snapshot.hosts()) {
@@ -76,6 +76,17 @@
             byId.put(host.id(), machine);
         }
         snapshot.jobs().forEach(this::occupy);
+        snapshot.projection().overtaken().forEach(this::occupyHidden);
+    }
+
+    /** What others stored takes its room even where this controller's own proposal for the job does not know of it. */
+    private void occupyHidden(ProjectedJob job) {
+        for (Allocation allocation : job.hidden()) {
+            MachineRoom machine = byId.get(allocation.host());
+            if (machine != null && !ended(job.stored(), allocation)) {
+                machine.occupy(job.stored(), allocation);
+            }
+        }
     }
 
     private void occupy(JobRecord job) {
@@ -118,7 +129,7 @@
 
     boolean withinLimit(Submission job, Resources besides, int tasks) {
         Settings.Team team = snapshot.teams().get(job.team());
-        Resources before = use.getOrDefault(job.team(), Resources.NONE).plus(besides);
+        Resources before = use.of(job.team()).plus(besides);
         return team != null && team.withinLimit(before.plus(job.perTask().times(tasks)));
     }
 
@@ -160,7 +171,7 @@
         machine.take(job.perTask());
         machine.plan();
         machine.needsImage(job.image());
-        use.merge(job.team(), job.perTask(), Resources::plus);
+        use.add(job, 1);
         wanted.add(machine.host().id());
         if (job.gang()) {
             gangHosts.add(machine.host().id());
--- a/src/main/java/org/dunespindle/coordination/Planner.java
+++ b/src/main/java/org/dunespindle/coordination/Planner.java
@@ -41,6 +41,7 @@
     /**
      * Everything a plan depends on.
      *
+     * @param projection the jobs, as stored and as expected
      * @param mostTasks how many tasks of an array may be under way at once
      * @param ended tasks whose end is reported but not stored yet: their room is free, their team's use is not
      * @param leftAlone jobs that another controller is placing, or that wait for more: not booked here now
@@ -50,7 +51,7 @@
      */
     public record Snapshot(
             Instant now,
-            List<JobRecord> jobs,
+            ProjectedJobs projection,
             List<Host> hosts,
             Map<String, Settings.Team> teams,
             Map<String, Place> whereabouts,
@@ -62,7 +63,12 @@
             Set<String> departing,
             List<Headroom.Phantom> phantoms,
             Targets targets,
-            Function<Started, Duration> progress) {}
+            Function<Started, Duration> progress) {
+        /** The jobs as this controller expects them to be. */
+        public List<JobRecord> jobs() {
+            return projection.expected();
+        }
+    }
 
     /** An allocation whose task has ended. */
     public record Ended(String job, int task, long base) {}
@@ -110,17 +116,6 @@
         return new Work(s).run();
     }
 
-    /** What each team's allocations take, cancelled jobs' included: their tasks still count until they are gone. */
-    public static Map<String, Resources> use(Iterable<JobRecord> jobs) {
-        var use = new HashMap<String, Resources>();
-        for (JobRecord j : jobs) {
-            j.spec()
-                    .ifPresent(spec -> use.merge(
-                            spec.team(), spec.perTask().times(j.allocations().size()), Resources::plus));
-        }
-        return use;
-    }
-
     /** Jobs that fit within their team's guarantee together with the team's earlier unfinished jobs. */
     public static Set<String> guaranteed(List<JobRecord> jobs, Map<String, Settings.Team> teams) {
         var sums = new HashMap<String, Resources>();
--- a/src/main/java/org/dunespindle/coordination/TeamLedger.java
+++ b/src/main/java/org/dunespindle/coordination/TeamLedger.java
@@ -63,8 +63,24 @@
         /** Not yet: this record, which closes the shares, is to be written first. */
         record Close(Entry entry) implements Way {}
 
-        /** Not now: the view does not reach up to the record, or the limit is used up. */
-        record Wait() implements Way {}
+        /** Not now. */
+        record Wait(WaitReason reason) implements Way {}
+    }
+
+    /** Why nothing may be placed now. */
+    enum WaitReason {
+        VIEW_BEHIND_RECORD("what is known here does not reach up to its record"),
+        LIMIT_REACHED("its limit is used up");
+
+        private final String text;
+
+        WaitReason(String text) {
+            this.text = text;
+        }
+
+        String text() {
+            return text;
+        }
     }
 
     /**
@@ -75,7 +91,7 @@
      * @param spent what it has added under this record
      * @param unsure what of that may or may not have been stored
      * @param upToDate whether the view reaches up to the record
-     * @param use all allocations as seen, with what this controller has proposed
+     * @param use all allocations as stored, with what this controller has proposed beside them; never less than is stored at the record
      */
     record View(
             Settings.Team team,
@@ -92,7 +108,7 @@
             return new Way.Guard();
         }
         if (!v.upToDate) {
-            return new Way.Wait();
+            return new Way.Wait(WaitReason.VIEW_BEHIND_RECORD);
         }
         Resources bound = v.use.plus(v.entry.share.times(v.entitled ? v.names - 1 : v.names))
                 .plus(v.unsure);
@@ -104,7 +120,9 @@
         // shows what was stored. Without that a team near its limit would wait for ever after a few answers that stayed
         // out.
         boolean unsure = v.unsure.cpus() > 0 || v.unsure.gpus() > 0;
-        return v.entry.closed() && !unsure ? new Way.Wait() : new Way.Close(new Entry(bound, Resources.NONE));
+        return v.entry.closed() && !unsure
+                ? new Way.Wait(WaitReason.LIMIT_REACHED)
+                : new Way.Close(new Entry(bound, Resources.NONE));
     }
 
     private static Entry open(Settings.Team team, Resources bound, int names) {
--- a/src/main/java/org/dunespindle/federation/RoomSurvey.java
+++ b/src/main/java/org/dunespindle/federation/RoomSurvey.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.dunespindle.coordination.Planner;
+import org.dunespindle.coordination.TeamUse;
 import org.dunespindle.protocol.MachineType;
 import org.dunespindle.protocol.Priority;
 import org.dunespindle.protocol.Resources;
@@ -25,7 +26,7 @@
 
     private final Planner.Snapshot snapshot;
     private final List<Machine> machines = new ArrayList<>();
-    private final Map<String, Resources> use;
+    private final TeamUse use;
     private final List<JobRecord> lacking = new ArrayList<>();
     /** What may be rented, as far as is known: markets that the cloud did not refuse lately. */
     private final Map<Planner.Market, MachineType> rentable = new LinkedHashMap<>();
@@ -55,7 +56,7 @@
     /** Surveys a cell by its leader's plan, and by the machine types that its cloud rents out. */
     public RoomSurvey(Planner.Snapshot snapshot, Planner.Plan plan, List<MachineType> types) {
         this.snapshot = snapshot;
-        this.use = Planner.use(snapshot.jobs());
+        this.use = snapshot.projection().use();
         var byId = new HashMap<String, Machine>();
         for (Planner.Host host : snapshot.hosts()) {
             var machine = new Machine(host);
@@ -63,7 +64,8 @@
             byId.put(host.id(), machine);
         }
         types.forEach(this::addMarkets);
-        snapshot.jobs().forEach(job -> occupy(job, byId));
+        snapshot.jobs().forEach(job -> occupy(job, job.allocations(), byId));
+        snapshot.projection().overtaken().forEach(job -> occupy(job.stored(), job.hidden(), byId));
         plan.bookings().forEach(booking -> book(booking, byId));
         var present = new HashMap<String, JobRecord>();
         snapshot.jobs().forEach(job -> present.put(job.id(), job));
@@ -84,8 +86,8 @@
         }
     }
 
-    private void occupy(JobRecord job, Map<String, Machine> byId) {
-        for (Allocation allocation : job.allocations()) {
+    private void occupy(JobRecord job, List<Allocation> allocations, Map<String, Machine> byId) {
+        for (Allocation allocation : allocations) {
             Machine machine = byId.get(allocation.host());
             boolean ended =
                     snapshot.ended().contains(new Planner.Ended(job.id(), allocation.task(), allocation.base()));
@@ -128,7 +130,7 @@
     public boolean hasRoomFor(Submission job) {
         int wanted = job.gang() ? job.tasks() : Math.max(1, job.tasks() / ARRAY_PART);
         Settings.Team team = snapshot.teams().get(job.team());
-        Resources before = use.getOrDefault(job.team(), Resources.NONE);
+        Resources before = use.of(job.team());
         if (team == null || !team.withinLimit(before.plus(job.perTask().times(job.gang() ? wanted : 1)))) {
             return false;
         }
--- a/src/test/java/org/dunespindle/coordination/PlannerTest.java
+++ b/src/test/java/org/dunespindle/coordination/PlannerTest.java
@@ -74,7 +74,12 @@
     private static Planner.Plan plan(List<JobRecord> jobs, List<Planner.Host> hosts) {
         var places = new HashMap<String, Planner.Place>();
         hosts.forEach(h -> places.put(h.id(), new Planner.Place(h.type(), h.zone(), h.spot())));
-        return Planner.plan(new Planner.Snapshot(
+        return Planner.plan(snapshot(ProjectedJobs.ofStored(jobs), hosts, places));
+    }
+
+    private static Planner.Snapshot snapshot(
+            ProjectedJobs jobs, List<Planner.Host> hosts, Map<String, Planner.Place> places) {
+        return new Planner.Snapshot(
                 Instant.ofEpochSecond(1000),
                 jobs,
                 hosts,
@@ -88,7 +93,7 @@
                 Set.of(),
                 List.of(),
                 TARGETS,
-                p -> Duration.ZERO));
+                p -> Duration.ZERO);
     }
 
     @Property(seed = "21", tries = 200)
@@ -126,7 +131,9 @@
     }
 
     private static void check(List<JobRecord> jobs, List<Planner.Host> hosts) {
-        Planner.use(jobs).forEach((team, use) -> assertTrue(TEAMS.get(team).withinLimit(use), team + " uses " + use));
+        ProjectedJobs.ofStored(jobs)
+                .use()
+                .forEach((team, use) -> assertTrue(TEAMS.get(team).withinLimit(use), team + " uses " + use));
         var room = new HashMap<String, Integer>();
         for (JobRecord j : jobs) {
             var zones = new HashMap<String, Integer>();
@@ -322,7 +329,7 @@
                 new Planner.Ended(full.id(), 2, full.allocations().get(0).base()));
         Planner.Plan plan = Planner.plan(new Planner.Snapshot(
                 Instant.ofEpochSecond(1000),
-                List.of(full),
+                ProjectedJobs.ofStored(List.of(full)),
                 List.of(host("a", "east", false, 8)),
                 TEAMS,
                 Map.of(),
@@ -348,7 +355,7 @@
         var hosts = List.of(host("a", "east", false, 4));
         Planner.Plan plan = Planner.plan(new Planner.Snapshot(
                 Instant.ofEpochSecond(1000),
-                List.of(low, equal),
+                ProjectedJobs.ofStored(List.of(low, equal)),
                 hosts,
                 TEAMS,
                 Map.of(),
@@ -366,6 +373,34 @@
                 plan.bookings().stream().map(b -> b.places().size()).toList());
     }
 
+    /** A job of which this controller proposed one task, while another stored more of it. */
+    private static ProjectedJob overtaken(JobRecord job, Map<Integer, String> stored) {
+        return new ProjectedJob(job.placed(new TreeMap<>(stored)), job.placed(new TreeMap<>(Map.of(0, "b"))));
+    }
+
+    @Test
+    void aGangWaitsForTheLimitThatOthersUsedUnseenByAnOwnProposal() {
+        JobRecord array = job(1, "red", Shape.ARRAY, Priority.LOW, 9, ANYWHERE);
+        JobRecord gang = job(2, "red", Shape.GANG, Priority.URGENT, 3, ANYWHERE);
+        var hosts = List.of(host("a", "east", false, 8), host("b", "east", false, 8));
+        ProjectedJob used = overtaken(array, Map.of(0, "a", 1, "a", 2, "a", 3, "a"));
+        Planner.Plan plan =
+                Planner.plan(snapshot(new ProjectedJobs(List.of(used, ProjectedJob.ofStored(gang))), hosts, Map.of()));
+        assertTrue(plan.bookings().stream().noneMatch(b -> b.job().id().equals(gang.id())));
+    }
+
+    @Test
+    void roomThatOthersFilledUnseenByAnOwnProposalIsNotFree() {
+        JobRecord array = job(1, "blue", Shape.ARRAY, Priority.LOW, 5, ANYWHERE);
+        JobRecord other = job(2, "red", Shape.ARRAY, Priority.LOW, 1, ANYWHERE);
+        ProjectedJob full = overtaken(array, Map.of(0, "a", 1, "a", 2, "a", 3, "a"));
+        Planner.Plan plan = Planner.plan(snapshot(
+                new ProjectedJobs(List.of(full, ProjectedJob.ofStored(other))),
+                List.of(host("a", "east", false, 3)),
+                Map.of()));
+        assertTrue(plan.bookings().stream().noneMatch(b -> b.job().id().equals(other.id())));
+    }
+
     @Test
     void equalPriorityNeverGivesWay() {
         JobRecord other =
--- a/src/test/java/org/dunespindle/coordination/ServicePlannerTest.java
+++ b/src/test/java/org/dunespindle/coordination/ServicePlannerTest.java
@@ -69,7 +69,7 @@
         hosts.forEach(h -> places.put(h.id(), new Planner.Place(h.type(), h.zone(), h.spot())));
         return Planner.plan(new Planner.Snapshot(
                 Instant.ofEpochSecond(1000),
-                List.of(jobs),
+                ProjectedJobs.ofStored(List.of(jobs)),
                 hosts,
                 TEAMS,
                 places,
@@ -194,7 +194,7 @@
         var snapshotMost = new int[] {1};
         Planner.Plan plan = Planner.plan(new Planner.Snapshot(
                 Instant.ofEpochSecond(1000),
-                List.of(faulty),
+                ProjectedJobs.ofStored(List.of(faulty)),
                 hosts,
                 TEAMS,
                 Map.of(),
--- a/src/test/java/org/dunespindle/federation/AdmissionTest.java
+++ b/src/test/java/org/dunespindle/federation/AdmissionTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.dunespindle.coordination.Planner;
+import org.dunespindle.coordination.ProjectedJobs;
 import org.dunespindle.coordination.Targets;
 import org.dunespindle.protocol.MachineType;
 import org.dunespindle.protocol.Priority;
@@ -41,7 +42,7 @@
         var red = new Settings.Team("red", 0, Double.POSITIVE_INFINITY, 4, limit);
         return new Planner.Snapshot(
                 now,
-                jobs,
+                ProjectedJobs.ofStored(jobs),
                 List.of(host("i-1", "east"), host("i-2", "west")),
                 Map.of("red", red),
                 Map.of(),
--- a/src/test/java/org/dunespindle/sim/AdminTest.java
+++ b/src/test/java/org/dunespindle/sim/AdminTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import org.dunespindle.coordination.Admin;
 import org.dunespindle.protocol.Shape;
@@ -75,6 +76,34 @@
         }
     }
 
+    /** What a team's limit rests on here: its record, and this controller's account with it. */
+    @Test
+    void teamsTellWhatTheirLimitRestsOn() {
+        SimulatedCluster cluster = running();
+        JsonNode red = get(cluster, "/v1/teams").body().path("teams").get(0);
+        assertEquals("red", red.path("name").asText());
+        JsonNode ledger = red.path("ledger");
+        assertTrue(ledger.path("recordRevision").asLong() > 0, red.toString());
+        assertTrue(
+                ledger.path("bound").path("gpus").asDouble()
+                        >= red.path("gpusUsed").asDouble(),
+                red.toString());
+        assertTrue(ledger.path("syncedToRevision").asLong()
+                >= ledger.path("recordRevision").asLong());
+        long placed = 0;
+        for (int node = 0; node < 3; node++) {
+            JsonNode there = cluster.admin(node, "GET", "/v1/teams", "")
+                    .join()
+                    .body()
+                    .path("teams")
+                    .get(0)
+                    .path("ledger");
+            placed += there.path("placedWithinShare").asLong()
+                    + there.path("placedWithNewRecord").asLong();
+        }
+        assertTrue(placed > 0, "no controller tells of a placement");
+    }
+
     @Test
     void aDrainedMachineLeavesOnceItIsEmpty() {
         SimulatedCluster cluster = running();
--- a/src/test/java/org/dunespindle/sim/CombinedFailuresTest.java
+++ b/src/test/java/org/dunespindle/sim/CombinedFailuresTest.java
@@ -169,7 +169,7 @@
     }
 
     private static FailureMix day(long seed) {
-        var mix = new FailureMix(seed);
+        var mix = new FailureMix(seed, FailureMix.StateService.UNLIMITED);
         mix.submitJobs(14);
         return mix;
     }
@@ -396,7 +396,7 @@
     @ParameterizedTest
     @ValueSource(longs = {411, 412})
     void moreWorkThanRoomOverSlowLinks(long seed) {
-        var mix = new FailureMix(seed);
+        var mix = new FailureMix(seed, FailureMix.StateService.UNLIMITED);
         mix.cluster().slowMillis = 250;
         mix.submitJobs(30);
         mix.at(Duration.ofSeconds(100), () -> mix.cluster().slowMillis = 0);
--- a/src/test/java/org/dunespindle/sim/FailureMix.java
+++ b/src/test/java/org/dunespindle/sim/FailureMix.java
@@ -17,6 +17,20 @@
 
     static final Duration END = Duration.ofSeconds(420);
     private static final int MACHINES_ASKED = 3;
+    private static final double REQUESTS = 250;
+    private static final double WRITES = 20;
+
+    /** How the state service serves all controllers together. */
+    enum StateService {
+        /** It takes whatever comes, at once. */
+        UNLIMITED,
+        /** It refuses what goes beyond its rates, and its answers take a moment. */
+        SCARCE_AND_SLOW;
+
+        ClusterShape of(ClusterShape shape) {
+            return this == SCARCE_AND_SLOW ? shape.withStateRates(REQUESTS, WRITES) : shape;
+        }
+    }
 
     /** One trouble; it begins when it is made and ends by itself. */
     enum Trouble {
@@ -52,9 +66,10 @@
     private final List<String> ids = new ArrayList<>();
     private final List<String> story = new ArrayList<>();
 
-    FailureMix(long seed) {
-        cluster = new SimulatedCluster(
-                seed, 7, seed % 4 == 1 ? 10 : 1); // some days a record for each machine, else most share one
+    FailureMix(long seed, StateService stateService) {
+        // Some days a record for each machine, else most share one.
+        ClusterShape shape = ClusterShape.of(7, seed % 4 == 1 ? 10 : 1);
+        cluster = new SimulatedCluster(seed, stateService.of(shape));
         random = new Random(seed * 31 + 7);
         if (seed % 3 == 2) {
             cluster.lengthOf = p -> Optional.of(Duration.ofSeconds(5 + p.index() * 11L % 30));
--- a/src/test/java/org/dunespindle/sim/FederationMix.java
+++ b/src/test/java/org/dunespindle/sim/FederationMix.java
@@ -43,8 +43,8 @@
     private final List<String> fills = new ArrayList<>();
     private final List<String> story = new ArrayList<>();
 
-    FederationMix(long seed) {
-        federation = new SimulatedFederation(seed, 2, 3, 3);
+    FederationMix(long seed, FailureMix.StateService stateService) {
+        federation = new SimulatedFederation(seed, stateService, 2, 3, 3);
         random = new Random(seed * 37 + 11);
         // On some days room comes back while jobs are on their way.
         Duration filled = millis(FILLED_AT_LEAST_MILLIS, FILLED_AT_MOST_MILLIS);
--- a/src/test/java/org/dunespindle/sim/FederationMixTest.java
+++ b/src/test/java/org/dunespindle/sim/FederationMixTest.java
@@ -20,7 +20,17 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void whateverMeets(long seed) {
-        var mix = new FederationMix(seed);
+        play(seed, FailureMix.StateService.UNLIMITED);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void whateverMeetsWhileWritesAreScarce(long seed) {
+        play(seed, FailureMix.StateService.SCARCE_AND_SLOW);
+    }
+
+    private static void play(long seed, FailureMix.StateService stateService) {
+        var mix = new FederationMix(seed, stateService);
         mix.addAny(2 + (int) (seed % 4));
         assertEquals(List.of(), mix.play(), () -> seed + ": " + mix.story());
     }
--- a/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
+++ b/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
@@ -25,7 +25,17 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void whateverMeets(long seed) {
-        var mix = new FailureMix(seed);
+        play(seed, FailureMix.StateService.UNLIMITED);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void whateverMeetsWhileWritesAreScarce(long seed) {
+        play(seed, FailureMix.StateService.SCARCE_AND_SLOW);
+    }
+
+    private static void play(long seed, FailureMix.StateService stateService) {
+        var mix = new FailureMix(seed, stateService);
         mix.submitJobs(JOBS);
         mix.addAny(2 + (int) (seed % 5));
         assertEquals(List.of(), mix.play(), () -> seed + ": " + mix.story());
--- a/src/test/java/org/dunespindle/sim/SimulatedCluster.java
+++ b/src/test/java/org/dunespindle/sim/SimulatedCluster.java
@@ -41,6 +41,9 @@
     static final int QUOTA_RED = 10;
     static final int QUOTA_BLUE = 6;
     private static final int CONFLICT = 409;
+    /** The longest that an answer of a state service with scarce rates takes. */
+    private static final int SLOW_STATE_MILLIS = 80;
+
     private static final Duration ANSWER_WITHIN = Duration.ofSeconds(4);
     static final Duration CANCEL = Duration.ofSeconds(30);
     static final List<String> ZONES = List.of("east", "west");
@@ -155,7 +158,10 @@
         cancelled = surroundings.cancelled();
         sim = surroundings.sim();
         state = new StateStandIn(sim);
-        shape.stateRates().ifPresent(rates -> state.limitRates(rates.requests(), rates.writes()));
+        shape.stateRates().ifPresent(rates -> {
+            state.limitRates(rates.requests(), rates.writes());
+            slowStateMillis = SLOW_STATE_MILLIS;
+        });
         if (!shape.large()) {
             state.listen(new StoredAllocations(this));
         }
--- a/src/test/java/org/dunespindle/sim/SimulatedFederation.java
+++ b/src/test/java/org/dunespindle/sim/SimulatedFederation.java
@@ -73,6 +73,11 @@
     }
 
     SimulatedFederation(long seed, int... machines) {
+        this(seed, FailureMix.StateService.UNLIMITED, machines);
+    }
+
+    /** Cells whose state services all serve in one way. */
+    SimulatedFederation(long seed, FailureMix.StateService stateService, int... machines) {
         sim = new Sim(seed);
         network = new Random(seed ^ 0x5eedL);
         var jobs = new LinkedHashMap<String, Submission>();
@@ -93,8 +98,8 @@
                     (node, process, context) -> connect(index, node, process, context),
                     watch,
                     Optional.empty());
-            cells.add(new SimulatedCluster(
-                    surroundings, ClusterShape.of(machines[cell], 1).withFormat(FormatVersion.CELL_TIES)));
+            ClusterShape shape = ClusterShape.of(machines[cell], 1).withFormat(FormatVersion.CELL_TIES);
+            cells.add(new SimulatedCluster(surroundings, stateService.of(shape)));
         }
         sim.after(500, this::watch);
     }
