Tests: what got no answer counts, with one to three controllers

Change: a case of its own in TeamLedgerTest; TeamUseTest plays one to three controllers, since with three the allowance for the others covered it up.

--- a/src/test/java/org/dunespindle/coordination/TeamLedgerTest.java
+++ b/src/test/java/org/dunespindle/coordination/TeamLedgerTest.java
@@ -202,6 +202,15 @@
                         gpus(60)));
     }
 
+    @Test
+    void whatGotNoAnswerCountsInANewBound() {
+        var team = new Settings.Team("t", 0, Double.POSITIVE_INFINITY, 0, 300);
+        var entry = new TeamLedger.Entry(gpus(0), new Resources(1e9, 50, 0));
+        var unanswered = new TeamLedger.View(team, NAMES, entry, true, gpus(40), gpus(40), true, gpus(0));
+        var write = assertInstanceOf(TeamLedger.Way.Write.class, TeamLedger.way(unanswered, gpus(20)));
+        assertEquals(160, write.entry().bound().gpus());
+    }
+
     /** Records that the version before stored are read and written as the very same bytes. */
     @Test
     void whatTheVersionBeforeStoredIsWrittenTheSame() throws IOException {
--- a/src/test/java/org/dunespindle/coordination/TeamUseTest.java
+++ b/src/test/java/org/dunespindle/coordination/TeamUseTest.java
@@ -27,7 +27,7 @@
  * overtaken, refused, or left without an answer: the team's limit holds, and its record's bound is never below what is stored.
  */
 class TeamUseTest {
-    private static final int NAMES = 3;
+    private static final int MOST_CONTROLLERS = 3;
     private static final int JOBS = 4;
     private static final int STEPS = 500;
     private static final String TEAM = "red";
@@ -117,6 +117,7 @@
             int tasks) {}
 
     private static final class Controller {
+        private final int names;
         private Copy copy;
         private final Map<Integer, Proposal> underWay = new TreeMap<>();
         private long born;
@@ -124,7 +125,8 @@
         private int spent;
         private int unsure;
 
-        Controller(Store store) {
+        Controller(int names, Store store) {
+            this.names = names;
             copy = store.copy();
         }
 
@@ -159,7 +161,7 @@
             Resources used = use().of(TEAM);
             var view = new TeamLedger.View(
                     team,
-                    NAMES,
+                    names,
                     copy.ledger.value,
                     copy.ledger.stamp > born,
                     gpus(spent),
@@ -231,13 +233,15 @@
         History(long seed) {
             random = new Random(seed);
             team = new Settings.Team(TEAM, 0, Double.POSITIVE_INFINITY, 0, 20 + random.nextInt(100));
-            for (int i = 0; i < NAMES; i++) {
-                controllers.add(new Controller(store));
+            // The fewer there are, the less of what others may have placed unseen covers up for what is not counted.
+            int names = 1 + random.nextInt(MOST_CONTROLLERS);
+            for (int i = 0; i < names; i++) {
+                controllers.add(new Controller(names, store));
             }
         }
 
         void step() {
-            Controller controller = controllers.get(random.nextInt(NAMES));
+            Controller controller = controllers.get(random.nextInt(controllers.size()));
             switch (random.nextInt(12)) {
                 case 0, 1, 2 -> controller.copy = store.copy();
                 case 3 -> end();
