Test: a restarted controller uses no share granted before it began

Change: whole controllers in virtual time; one places its share, ends, comes back, and each of three places a share at one moment.

--- a/src/test/java/org/dunespindle/sim/TeamLimitTest.java
+++ b/src/test/java/org/dunespindle/sim/TeamLimitTest.java
@@ -49,6 +49,11 @@
     /** So many that the limit is broken if they are not counted. */
     private static final int MOST_OF_THEM = 12;
 
+    /** Longer than the test: idle machines stay. */
+    private static final double IDLE_RETURN_SECONDS = 600;
+
+    private static final int SLOW_ANSWERS_MILLIS = 400;
+
     private static final Duration RUNS = Duration.ofSeconds(60);
 
     static LongStream seeds() {
@@ -157,6 +162,48 @@
         assertEquals("done", cluster.lastTold(last));
     }
 
+    /**
+     * What an earlier process of a controller's name placed within its share still counts when a new one begins: together with the
+     * others' shares, a second use of it would be more than the limit.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void aRestartedControllerUsesNoShareGrantedBefore(long seed) {
+        int restarted = (int) (seed % 3);
+        Membership membership = threeControllers();
+        var cluster = new SimulatedCluster(
+                seed, ClusterShape.of(MACHINES, NAME_STEP).withLimits(Map.of("red", LIMIT, "blue", LIMIT)));
+        for (int node = 0; node < 3; node++) {
+            namesOf(node, "i-%04d", NAME_STEP, membership::hashed, 5).forEach(id -> cluster.provide(id, "east", false));
+        }
+        cluster.taskTime = Optional.of(RUNS);
+        cluster.sim.run(Duration.ofSeconds(15));
+        cluster.setOptions(0, Map.of("idle_return_s", IDLE_RETURN_SECONDS));
+        List<String> ofRestarted = namesOf(restarted, "wk-%06d", 1, membership::homeOf, 2);
+        cluster.submit(
+                array(namesOf(restarted, "wk-9%05d", 1, membership::homeOf, 1).get(0), 1, Optional.empty(), true));
+        cluster.sim.run(cluster.sim.now().plusSeconds(4));
+        cluster.submit(array(ofRestarted.get(0), 7, Optional.empty(), true));
+        cluster.sim.run(cluster.sim.now().plusSeconds(4));
+        assertEquals(7, allocated(cluster, ofRestarted.get(0)));
+        long granted = cluster.state.rows().get(Keys.team("red")).stamp();
+        cluster.crash(restarted, Duration.ofMillis(300));
+        cluster.sim.run(cluster.sim.now().plusSeconds(12));
+        assertEquals(granted, cluster.state.rows().get(Keys.team("red")).stamp(), "the share is still granted");
+        // Three jobs at one moment, one for each controller, none of which knows what the others are about to place.
+        cluster.slowStateMillis = SLOW_ANSWERS_MILLIS;
+        cluster.usersAt = (restarted + 1) % 3;
+        cluster.submit(array(ofRestarted.get(1), 7, Optional.empty(), true));
+        for (int by = 1; by < 3; by++) {
+            int node = (restarted + by) % 3;
+            cluster.submit(
+                    array(namesOf(node, "wk-%06d", 1, membership::homeOf, 1).get(0), 7, Optional.empty(), true));
+        }
+        cluster.sim.run(cluster.sim.now().plusSeconds(180));
+        assertEquals(List.of(), cluster.broken);
+        assertEquals("done", cluster.lastTold(ofRestarted.get(1)));
+    }
+
     /** More seeds than the usual few are played with {@code mvn test -Dtest=TeamLimitTest -Dlimits.from=1000 -Dlimits.count=500}. */
     @ParameterizedTest
     @MethodSource("seeds")
