Test: teams are found by name, since the list is in no order

Settings keep teams in an immutable map, whose order differs from process to process; the new test took the first of the list. Nothing in the API promises an order. Change: the test asks for the team by its name and checks the same things.

--- a/src/test/java/org/dunespindle/sim/AdminTest.java
+++ b/src/test/java/org/dunespindle/sim/AdminTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
@@ -76,12 +77,23 @@
         }
     }
 
+    /** A team as one controller shows it; the list is in no order. */
+    private static JsonNode team(SimulatedCluster cluster, int node, String name) {
+        JsonNode teams =
+                cluster.admin(node, "GET", "/v1/teams", "").join().body().path("teams");
+        for (JsonNode team : teams) {
+            if (team.path("name").asText().equals(name)) {
+                return team;
+            }
+        }
+        return fail("no team " + name + " in " + teams);
+    }
+
     /** What a team's limit rests on here: its record, and this controller's account with it. */
     @Test
     void teamsTellWhatTheirLimitRestsOn() {
         SimulatedCluster cluster = running();
-        JsonNode red = get(cluster, "/v1/teams").body().path("teams").get(0);
-        assertEquals("red", red.path("name").asText());
+        JsonNode red = team(cluster, 0, "red");
         JsonNode ledger = red.path("ledger");
         assertTrue(ledger.path("recordRevision").asLong() > 0, red.toString());
         assertTrue(
@@ -92,12 +104,7 @@
                 >= ledger.path("recordRevision").asLong());
         long placed = 0;
         for (int node = 0; node < 3; node++) {
-            JsonNode there = cluster.admin(node, "GET", "/v1/teams", "")
-                    .join()
-                    .body()
-                    .path("teams")
-                    .get(0)
-                    .path("ledger");
+            JsonNode there = team(cluster, node, "red").path("ledger");
             placed += there.path("placedWithinShare").asLong()
                     + there.path("placedWithNewRecord").asLong();
         }
