--- a/review/stand/Http.java
+++ b/review/stand/Http.java
@@ -2,6 +2,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -9,6 +10,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.dunespindle.protocol.MalformedMessageException;
@@ -28,6 +30,8 @@
             .executor(THREADS)
             .build();
 
+    private static final Random PORTS = new Random();
+
     record Reply(int status, JsonNode body) {}
 
     interface Handler {
@@ -100,10 +104,17 @@
         return otherwise;
     }
 
+    /** A free port below the range that outgoing connections use, so that none of them takes it before its listener is open. */
     static int freePort() throws IOException {
-        try (var socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(HOST, 0));
-            return socket.getLocalPort();
+        for (int tries = 0; tries < 1000; tries++) {
+            int port = 12_000 + PORTS.nextInt(18_000);
+            try (var socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress(HOST, port));
+                return port;
+            } catch (BindException e) {
+                // In use; the next one.
+            }
         }
+        throw new IOException("no free port");
     }
 }
--- a/review/stand/Platform.java
+++ b/review/stand/Platform.java
@@ -27,7 +27,9 @@
     final List<String> broken = new ArrayList<>();
     final Map<String, Integer> starts = new HashMap<>();
     final Set<String> done = new HashSet<>();
+    /** The limit after which a cancelled job's tasks must be gone. */
     double cancelS = Double.MAX_VALUE;
+    private final Set<String> lateTasks = new HashSet<>();
     double fetchS = 0.5;
     double bootS = 1;
     double runS = 5;
@@ -62,6 +64,7 @@
             while (true) {
                 synchronized (this) {
                     workers.values().forEach(Worker::step);
+                    checkCancelled();
                 }
                 try {
                     Thread.sleep(20);
@@ -214,6 +217,17 @@
         return null;
     }
 
+    private void checkCancelled() {
+        for (Worker.Task task : onMachines()) {
+            Double told = cancelledAt.get(task.job);
+            if (told != null && record.seconds() - told > cancelS && lateTasks.add(task.piece)) {
+                breaks(String.format(
+                        "ran_cancelled: %s is on %s, %.1f s after its user was told that the job is cancelled",
+                        task.piece, task.host(), record.seconds() - told));
+            }
+        }
+    }
+
     /** A task has its image: it is on its machine from now on. */
     void entered(Worker.Task task) {
         starts.merge(task.piece, 1, Integer::sum);
