--- a/review/stand/Controllers.java
+++ b/review/stand/Controllers.java
@@ -117,7 +117,11 @@
         new ProcessBuilder("kill", "-" + name, Long.toString(processes[node].pid())).start().waitFor();
     }
 
+    /** Ends all processes and removes the temporary folder. */
     synchronized void close() {
+        if (closed) {
+            return;
+        }
         closed = true;
         for (Process process : processes) {
             if (process != null) {
@@ -129,5 +133,9 @@
                 }
             }
         }
+        for (File file : folder.toFile().listFiles()) {
+            file.delete();
+        }
+        folder.toFile().delete();
     }
 }
--- a/review/stand/Growth.java
+++ b/review/stand/Growth.java
@@ -10,7 +10,7 @@
  */
 final class Growth {
     private static final int RECORDS = Integer.getInteger("records", 100_000);
-    private static final int RECORDS_PER_STEP = 400;
+    private static final int RECORDS_PER_STEP = 500;
     private static final double FORGOTTEN_AFTER_S = 75;
 
     private Growth() {}
@@ -55,12 +55,12 @@
             last = String.format("wk-%06d", 100_000 + i);
             state.put("ds/job/" + last, stored);
             if (i % RECORDS_PER_STEP == 0) {
-                Thread.sleep(80);
+                Thread.sleep(60);
             }
         }
         record.line("%d records of finished jobs are stored", state.count("ds/job/"));
         for (int node = 0; node < 3; node++) {
-            if (!users.awaitPhase(node, last, "done", 5)) {
+            if (!users.awaitPhase(node, last, "done", 10)) {
                 return 2;
             }
         }
--- a/review/stand/HungCancel.java
+++ b/review/stand/HungCancel.java
@@ -9,7 +9,7 @@
 /** Users call off jobs within a fifth of a second, and the machines of these jobs hang from then on. */
 final class HungCancel {
     private static final int JOBS = 5;
-    private static final int HANGING = Integer.getInteger("hanging", 3);
+    private static final int HANGING = Integer.getInteger("hanging", 4);
     private static final double HANG_S = 40;
     private static final double CANCEL_S = 35;
 
