--- a/src/main/java/org/dunespindle/control/ReconciliationResult.java
+++ b/src/main/java/org/dunespindle/control/ReconciliationResult.java
@@ -1,9 +1,10 @@
 package org.dunespindle.control;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Optional;
+import java.util.function.Function;
 import org.dunespindle.protocol.TaskId;
 import org.dunespindle.protocol.WorkerCommand;
 import org.dunespindle.storage.PlacedTask;
@@ -24,24 +25,29 @@
      * @param allocations the machine's allocations
      */
     public List<TaskTermination> withoutStarts(List<PlacedTask> allocations) {
-        var all = new ArrayList<>(terminations);
-        Set<TaskId> unstarted = unstartedTasks();
+        var unreachable = new HashMap<TaskId, TaskTermination>();
         for (PlacedTask placed : allocations) {
-            if (unstarted.contains(
-                    new TaskId(placed.job().id(), placed.allocation().task()))) {
-                all.add(TaskTermination.of(placed, TerminationCause.GONE, DETAIL_UNREACHABLE));
-            }
+            unreachable.put(
+                    new TaskId(placed.job().id(), placed.allocation().task()),
+                    TaskTermination.of(placed, TerminationCause.GONE, DETAIL_UNREACHABLE));
         }
-        return all;
+        return withTerminationsForStarts(task -> Optional.ofNullable(unreachable.get(task)))
+                .terminations();
     }
 
-    private Set<TaskId> unstartedTasks() {
-        var unstarted = new HashSet<TaskId>();
+    /**
+     * The result with terminations in place of the starts of some tasks.
+     *
+     * @param termination the termination of a task that must not be started; empty if it may be started
+     */
+    public ReconciliationResult withTerminationsForStarts(Function<TaskId, Optional<TaskTermination>> termination) {
+        var remainingCommands = new ArrayList<WorkerCommand>();
+        var allTerminations = new ArrayList<>(terminations);
         for (WorkerCommand command : commands) {
-            if (command instanceof WorkerCommand.Run start) {
-                unstarted.add(start.task());
-            }
+            Optional<TaskTermination> ended =
+                    command instanceof WorkerCommand.Run start ? termination.apply(start.task()) : Optional.empty();
+            ended.ifPresentOrElse(allTerminations::add, () -> remainingCommands.add(command));
         }
-        return unstarted;
+        return new ReconciliationResult(remainingCommands, allTerminations);
     }
 }
--- a/src/main/java/org/dunespindle/controller/JobParts.java
+++ b/src/main/java/org/dunespindle/controller/JobParts.java
@@ -24,7 +24,8 @@
         ControllerContext context = shared.context;
         CommitQueue commitQueue = shared.commitQueue;
         WorkerClient workerClient = workers.workerClient;
-        terminationWriter = new TerminationWriter(context, commitQueue, workerClient, machines.crashLoopDetector);
+        terminationWriter = new TerminationWriter(
+                context, commitQueue, workerClient, workers.proposedTerminations, machines.crashLoopDetector);
         placementWriter = new PlacementWriter(
                 context,
                 commitQueue,
--- a/src/main/java/org/dunespindle/controller/WorkerParts.java
+++ b/src/main/java/org/dunespindle/controller/WorkerParts.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.dunespindle.control.ControllerContext;
+import org.dunespindle.control.ProposedTerminations;
 import org.dunespindle.control.WorkerRegistry;
 import org.dunespindle.peer.PeerHeartbeats;
 import org.dunespindle.peer.WriteRateAllocator;
@@ -19,6 +20,7 @@
 final class WorkerParts {
     final CancellationTracker cancellationTracker;
     final PendingPreemptions pendingPreemptions = new PendingPreemptions();
+    final ProposedTerminations proposedTerminations;
     final WorkerClient workerClient;
     final HeartbeatHandler heartbeatHandler;
     final PartitionDetector partitionDetector;
@@ -29,8 +31,15 @@
         Settings settings = shared.settings;
         ControllerContext context = shared.context;
         cancellationTracker = new CancellationTracker(settings, shared.replica, shared.timeSource);
+        proposedTerminations = new ProposedTerminations(shared.replica);
         workerClient = new WorkerClient(
-                context, shared.machineWriter, httpClient, pendingPreemptions, cancellationTracker, requestRound);
+                context,
+                shared.machineWriter,
+                httpClient,
+                pendingPreemptions,
+                cancellationTracker,
+                proposedTerminations,
+                requestRound);
         peerHeartbeats = new PeerHeartbeats(
                 settings,
                 httpClient,
--- a/src/main/java/org/dunespindle/job/PlacementWriter.java
+++ b/src/main/java/org/dunespindle/job/PlacementWriter.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.dunespindle.control.CommitPriority;
 import org.dunespindle.control.CommitQueue;
@@ -30,7 +29,6 @@
 import org.dunespindle.storage.MachineRecord;
 import org.dunespindle.storage.StateReplica;
 import org.dunespindle.storage.Transaction;
-import org.dunespindle.storage.TransactionResult;
 import org.dunespindle.time.TimeSource;
 import org.dunespindle.worker.PendingPreemptions;
 import org.slf4j.Logger;
@@ -188,11 +186,10 @@
         usage.add(job.submission(), places.size());
         admission.get().onProposed();
         logPlacement(job, places.size());
-        propose(transaction, placed, result -> {
+        proposedRecords.put(placed.id(), placed);
+        terminationWriter.propose(CommitPriority.PLACEMENT, transaction, job, applied, result -> {
+            proposedRecords.remove(placed.id());
             admission.get().onResult(result);
-            if (result instanceof TransactionResult.Applied) {
-                applied.forEach(termination -> terminationWriter.recordTermination(job, termination));
-            }
         });
     }
 
@@ -225,12 +222,4 @@
                     Duration.between(job.arrived(), timeSource.wallTime()).toMillis());
         }
     }
-
-    private void propose(Transaction transaction, JobRecord placed, Consumer<TransactionResult> onResult) {
-        proposedRecords.put(placed.id(), placed);
-        commitQueue.propose(CommitPriority.PLACEMENT, transaction, result -> {
-            proposedRecords.remove(placed.id());
-            onResult.accept(result);
-        });
-    }
 }
--- a/src/main/java/org/dunespindle/job/TerminationWriter.java
+++ b/src/main/java/org/dunespindle/job/TerminationWriter.java
@@ -8,10 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.dunespindle.control.CommitPriority;
 import org.dunespindle.control.CommitQueue;
 import org.dunespindle.control.ControllerContext;
 import org.dunespindle.control.EventRecorder;
+import org.dunespindle.control.ProposedTerminations;
 import org.dunespindle.control.TaskTermination;
 import org.dunespindle.control.TerminationCause;
 import org.dunespindle.control.WorkerRegistry;
@@ -45,6 +47,7 @@
     private final StateReplica replica;
     private final CommitQueue commitQueue;
     private final WorkerClient workerClient;
+    private final ProposedTerminations proposedTerminations;
     private final WorkerRegistry workers;
     private final TimeSource timeSource;
     private final EventRecorder eventRecorder;
@@ -59,6 +62,7 @@
             ControllerContext context,
             CommitQueue commitQueue,
             WorkerClient workerClient,
+            ProposedTerminations proposedTerminations,
             CrashLoopDetector crashLoopDetector) {
         this.jobWriter = context.jobWriter();
         this.replica = context.replica();
@@ -68,6 +72,7 @@
         this.crashLoopDetector = crashLoopDetector;
         this.commitQueue = commitQueue;
         this.workerClient = workerClient;
+        this.proposedTerminations = proposedTerminations;
         this.batching = new TerminationBatching(context);
         int maxPreconditions =
                 Transaction.maxPreconditions(context.settings().state().lowest().txnOps());
@@ -125,14 +130,42 @@
         if (!urgent && commitQueue.pendingCount() >= MAX_QUEUED_TRANSACTIONS) {
             return; // it would lock the record for a long time; the job's next placement also stores the terminations
         }
-        commitQueue.propose(
+        propose(
                 urgent ? CommitPriority.PLACEMENT : CommitPriority.MAINTENANCE,
                 jobWriter.write(transaction, after),
-                result -> {
-                    if (result instanceof TransactionResult.Applied) {
-                        applied.forEach(termination -> recordTermination(job, termination));
-                    }
-                });
+                job,
+                applied,
+                result -> {});
+    }
+
+    /**
+     * Proposes a transaction that stores terminations. The tasks are not started on their machines until its outcome is certain.
+     *
+     * @param job the job's record before the terminations are applied
+     * @param applied the terminations that the transaction stores
+     * @param onResult receives the outcome
+     */
+    void propose(
+            CommitPriority priority,
+            Transaction transaction,
+            JobRecord job,
+            List<TaskTermination> applied,
+            Consumer<TransactionResult> onResult) {
+        proposedTerminations.add(applied);
+        commitQueue.propose(priority, transaction, result -> {
+            proposedTerminations.settle(applied, result);
+            onResult.accept(result);
+            if (result instanceof TransactionResult.Applied) {
+                applied.forEach(termination -> recordTermination(job, termination));
+            } else {
+                applied.forEach(termination -> reconcileMachine(job, termination)); // its start may be possible now
+            }
+        });
+    }
+
+    private void reconcileMachine(JobRecord job, TaskTermination termination) {
+        job.allocation(termination.task())
+                .ifPresent(allocation -> workerClient.scheduleReconciliation(allocation.machineId()));
     }
 
     /**
@@ -165,7 +198,7 @@
      *
      * @param job the job record before the termination was applied
      */
-    void recordTermination(JobRecord job, TaskTermination termination) {
+    private void recordTermination(JobRecord job, TaskTermination termination) {
         String machineId =
                 job.allocation(termination.task()).map(Allocation::machineId).orElse(UNKNOWN_MACHINE);
         if (termination.cause() == TerminationCause.ERROR) {
--- a/src/main/java/org/dunespindle/worker/WorkerClient.java
+++ b/src/main/java/org/dunespindle/worker/WorkerClient.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.dunespindle.control.ControllerContext;
 import org.dunespindle.control.MachineRecordWriter;
+import org.dunespindle.control.ProposedTerminations;
 import org.dunespindle.control.WorkerState;
 import org.dunespindle.storage.MachineRecord;
 import org.dunespindle.storage.StateReplica;
@@ -39,6 +40,7 @@
             HttpClient httpClient,
             PendingPreemptions pendingPreemptions,
             CancellationTracker cancellationTracker,
+            ProposedTerminations proposedTerminations,
             Runnable wakeEventLoop) {
         var callLimiter = new ConcurrentCallLimiter(context.settings().sockets());
         this.replica = context.replica();
@@ -50,7 +52,8 @@
                 new WorkerInspector(context.workers(), httpClient, callLimiter, reconciliationQueue, statusRecorder);
         this.commandSender = new WorkerCommandSender(
                 context, httpClient, callLimiter, reconciliationQueue, reachability, statusRecorder, allocations);
-        this.statusReconciliation = new StatusReconciliation(allocations, new ForgetFilter(machineWriter));
+        this.statusReconciliation =
+                new StatusReconciliation(allocations, new ForgetFilter(machineWriter), proposedTerminations);
         this.terminationTracker = new TerminationTracker(context.timeSource(), reconciliationQueue);
         this.reconciler = new MachineReconciler(
                 context,
--- a/src/test/java/org/dunespindle/sim/FakeWorker.java
+++ b/src/test/java/org/dunespindle/sim/FakeWorker.java
@@ -30,6 +30,8 @@
     boolean cannotReceive;
     /** Cannot send heartbeats: all of them are lost, while commands reach it and are answered. */
     boolean cannotSend;
+    /** Loses its network, and every connection to or from it fails at once, so that nothing is sent. */
+    boolean refusesConnections;
     /** Every task on it fails. */
     boolean faulty;
     /** Its heartbeats arrive {@link #heartbeatDelay} late, after it has stopped waiting for their answers. */
@@ -167,6 +169,11 @@
                 .anyMatch(t -> t.onMachine() && t.task.job().equals(job));
     }
 
+    /** Whether any attempt of a task is on the machine and has not exited, including while it waits for its image. */
+    boolean holds(TaskId task) {
+        return tasks.values().stream().anyMatch(t -> t.task.equals(task) && !t.phase.equals("exited"));
+    }
+
     /** Returns the number of lease expiries plus one. */
     long session() {
         return session;
--- a/src/test/java/org/dunespindle/sim/FederationLoad.java
+++ b/src/test/java/org/dunespindle/sim/FederationLoad.java
@@ -99,7 +99,7 @@
             run.delegated += List.of("b", "c").contains(federation.finishedIn(id)) ? 1 : 0;
         }
         run.jobs = ids.size();
-        federation.cells.forEach(cell -> run.writes += cell.callCounts.getOrDefault("writes", 0));
+        federation.cells.forEach(cell -> run.writes += cell.calls.counts.getOrDefault("writes", 0));
         federation.callsByType.forEach((kind, count) -> run.calls += count);
         run.violations = federation.violations();
         return run;
--- a/src/test/java/org/dunespindle/sim/FleetTest.java
+++ b/src/test/java/org/dunespindle/sim/FleetTest.java
@@ -57,14 +57,15 @@
                 cluster.alive().stream().mapToLong(FakeWorker::session).sum(),
                 "lease expiries");
         assertEquals(0, cluster.violations.size(), cluster.violations.toString());
-        assertTrue(cluster.maxOpenWorkerCalls <= MAX_WORKER_CALLS, cluster.maxOpenWorkerCalls + " calls at once");
+        assertTrue(
+                cluster.calls.maxOpenToWorkers <= MAX_WORKER_CALLS, cluster.calls.maxOpenToWorkers + " calls at once");
     }
 
     /** Crashes all controllers and returns the number of calls by kind in the following 30 s. */
     private static Map<String, Integer> callsAfterCrashOfAll(int machines) {
         SimulatedCluster cluster = busyCluster(machines);
         assertEquals(machines, busyMachines(cluster));
-        var before = new TreeMap<>(cluster.callCounts);
+        var before = new TreeMap<>(cluster.calls.counts);
         long sessions = cluster.alive().stream().mapToLong(FakeWorker::session).sum();
         for (int n = 0; n < 3; n++) {
             cluster.crash(n, Duration.ofMillis(1500 + 700L * n));
@@ -74,7 +75,7 @@
         String hosts = cluster.admin(0, "GET", "/v1/hosts", "").join().body().toString();
         assertTrue(hosts.contains("i-0001"), hosts.substring(0, Math.min(200, hosts.length())));
         var calls = new TreeMap<String, Integer>();
-        cluster.callCounts.forEach((kind, n) -> calls.put(kind, n - before.getOrDefault(kind, 0)));
+        cluster.calls.counts.forEach((kind, n) -> calls.put(kind, n - before.getOrDefault(kind, 0)));
         return calls;
     }
 
@@ -117,12 +118,13 @@
         cluster.alive().stream()
                 .filter(w -> w.id().hashCode() % 3 == 0)
                 .forEach(w -> cluster.disconnect(w, Duration.ofSeconds(25)));
-        int before = cluster.callCounts.get("worker");
+        int before = cluster.calls.counts.get("worker");
         cluster.sim.run(Duration.ofSeconds(84));
-        assertTrue(cluster.maxOpenWorkerCalls <= MAX_WORKER_CALLS, cluster.maxOpenWorkerCalls + " calls at once");
         assertTrue(
-                cluster.callCounts.get("worker") - before < 20 * SMALL,
-                "calls to machines: " + (cluster.callCounts.get("worker") - before));
+                cluster.calls.maxOpenToWorkers <= MAX_WORKER_CALLS, cluster.calls.maxOpenToWorkers + " calls at once");
+        assertTrue(
+                cluster.calls.counts.get("worker") - before < 20 * SMALL,
+                "calls to machines: " + (cluster.calls.counts.get("worker") - before));
         cluster.sim.run(Duration.ofSeconds(130));
         assertEquals(0, cluster.violations.size(), cluster.violations.toString());
     }
--- a/src/test/java/org/dunespindle/sim/OperationsTest.java
+++ b/src/test/java/org/dunespindle/sim/OperationsTest.java
@@ -136,7 +136,7 @@
         var cluster = new SimulatedCluster(631);
         cluster.submit(array("wk-000001", "red", Priority.LOW, 4));
         cluster.sim.run(Duration.ofSeconds(7));
-        int before = cluster.callCounts.get("state");
+        int before = cluster.calls.counts.get("state");
         var answers = new ArrayList<CompletableFuture<UserApi.Answer>>();
         for (int k = 0; k < 200; k++) {
             cluster.sim.after(10L * k, () -> {
@@ -148,7 +148,7 @@
         cluster.sim.run(Duration.ofSeconds(11));
         assertEquals(4000, answers.size());
         assertTrue(answers.stream().allMatch(a -> a.isDone() && a.join().status() == 200));
-        int storeCalls = cluster.callCounts.get("state") - before;
+        int storeCalls = cluster.calls.counts.get("state") - before;
         assertTrue(storeCalls < 500, storeCalls + " calls to the state store for 4,000 polls");
         assertEquals(List.of(), cluster.violations);
     }
--- a/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
+++ b/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
@@ -19,6 +19,11 @@
      */
     private static final long[] FORMERLY_FAILING = {25645, 22145, 24021, 23629, 20279, 41553};
 
+    /** Seeds that once failed: a task was started although the release of its allocation could still be applied. */
+    private static final long[] FORMERLY_RELEASED_EARLY = {
+        1024, 1025, 1045, 1075, 1168, 1194, 1005, 1009, 1027, 1029, 1043, 1065, 1074
+    };
+
     static LongStream seeds() {
         long from = Long.getLong("mix.from", 500);
         return LongStream.concat(
@@ -37,6 +42,33 @@
         runSchedule(seed, RandomFaultSchedule.StateService.LIMITED_AND_SLOW);
     }
 
+    static LongStream refusedConnectionSeeds() {
+        long from = Long.getLong("mix.from", 500);
+        return LongStream.concat(
+                LongStream.of(FORMERLY_RELEASED_EARLY),
+                LongStream.range(from, from + Integer.getInteger("mix.count", 12)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("refusedConnectionSeeds")
+    void invariantsHoldWhenMachinesRefuseConnectionsWhileWritesAreLate(long seed) {
+        refuseConnectionsWhileWritesAreLate(seed, RandomFaultSchedule.StateService.UNLIMITED);
+    }
+
+    @ParameterizedTest
+    @MethodSource("refusedConnectionSeeds")
+    void invariantsHoldWhenMachinesRefuseConnectionsWhileWritesToALimitedStoreAreLate(long seed) {
+        refuseConnectionsWhileWritesAreLate(seed, RandomFaultSchedule.StateService.LIMITED_AND_SLOW);
+    }
+
+    private static void refuseConnectionsWhileWritesAreLate(long seed, RandomFaultSchedule.StateService stateService) {
+        var schedule = new RandomFaultSchedule(seed, stateService);
+        schedule.submitJobs(JOBS);
+        schedule.addRefusedConnectionsAndLateWrites(3);
+        schedule.addRandomFaults((int) (seed % 3));
+        assertEquals(List.of(), schedule.run(), () -> seed + ": " + schedule.faultLog());
+    }
+
     private static void runSchedule(long seed, RandomFaultSchedule.StateService stateService) {
         var schedule = new RandomFaultSchedule(seed, stateService);
         schedule.submitJobs(JOBS);
--- a/src/test/java/org/dunespindle/sim/RandomFaultSchedule.java
+++ b/src/test/java/org/dunespindle/sim/RandomFaultSchedule.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -57,7 +58,13 @@
         DELAYED_RENTAL,
         MACHINE_CRASH,
         SPOT_INTERRUPTION,
-        LEADER_PARTITIONED_FROM_WORKERS
+        LEADER_PARTITIONED_FROM_WORKERS,
+        MACHINES_REFUSE_CONNECTIONS_TWICE,
+        MOST_WRITES_LATE;
+
+        /** The faults that {@link #addRandomFaults} draws from, one independently of the other; a seed depends on their number and order. */
+        private static final List<Fault> INDEPENDENT =
+                List.copyOf(EnumSet.range(LEADER_ISOLATED, LEADER_PARTITIONED_FROM_WORKERS));
     }
 
     private final SimulatedCluster cluster;
@@ -138,10 +145,23 @@
 
     /** Schedules random faults within 15 s of one another, so that they overlap. */
     void addRandomFaults(int count) {
-        Fault[] all = Fault.values();
         int from = 8000 + random.nextInt(25_000);
         for (int i = 0; i < count; i++) {
-            addFault(all[random.nextInt(all.length)], Duration.ofMillis(from + random.nextInt(15_000)));
+            Fault fault = Fault.INDEPENDENT.get(random.nextInt(Fault.INDEPENDENT.size()));
+            addFault(fault, Duration.ofMillis(from + random.nextInt(15_000)));
+        }
+    }
+
+    /**
+     * Schedules machines that refuse connections and are back within seconds, again and again, each time with most transactions
+     * unanswered and late when the controllers give up the tasks that they could not start there.
+     */
+    void addRefusedConnectionsAndLateWrites(int count) {
+        int from = 8000 + random.nextInt(10_000);
+        for (int i = 0; i < count; i++) {
+            addFault(Fault.MACHINES_REFUSE_CONNECTIONS_TWICE, Duration.ofMillis(from));
+            addFault(Fault.MOST_WRITES_LATE, Duration.ofMillis(from + 3000L + random.nextInt(3000)));
+            from += 8000 + random.nextInt(8000);
         }
     }
 
@@ -257,6 +277,7 @@
                 some.forEach(w -> cluster.block(node, w));
                 endAfter(millis(10_000, 60_000), () -> some.forEach(w -> cluster.unblock(node, w)));
             }
+            case MACHINES_REFUSE_CONNECTIONS_TWICE -> someMachines().forEach(this::refuseConnectionsTwice);
             case MACHINE_CRASH -> someMachines().stream().limit(1).forEach(cluster::crashMachine);
             case SPOT_INTERRUPTION ->
                 someMachines().stream()
@@ -266,8 +287,22 @@
         }
     }
 
+    /** A machine loses its network, has it again for some seconds and loses it once more, each time for less than a lease. */
+    private void refuseConnectionsTwice(FakeWorker worker) {
+        Duration firstEnd = millis(5000, 9500);
+        Duration secondStart = firstEnd.plus(millis(1000, 12_000));
+        worker.refusesConnections = true;
+        endAfter(firstEnd, () -> worker.refusesConnections = false);
+        endAfter(secondStart, () -> worker.refusesConnections = true);
+        endAfter(secondStart.plus(millis(3000, 9500)), () -> worker.refusesConnections = false);
+    }
+
     private void messageFault(Fault fault) {
         switch (fault) {
+            case MOST_WRITES_LATE -> {
+                cluster.lateWriteRate = 0.6 + random.nextDouble() * 0.4;
+                endAfter(millis(1500, 5000), () -> cluster.lateWriteRate = 0);
+            }
             case LATE_WRITES -> {
                 cluster.lateWriteRate = 0.1 + random.nextDouble() * 0.3;
                 endAfter(millis(10_000, 50_000), () -> cluster.lateWriteRate = 0);
--- a/src/test/java/org/dunespindle/sim/SimulatedCluster.java
+++ b/src/test/java/org/dunespindle/sim/SimulatedCluster.java
@@ -108,8 +108,12 @@
     public double duplicateRate;
 
     int nextMachine = 1;
-    /** The fraction of transactions whose answer is lost and that are applied 2 to 12 s later, after newer ones. */
+    /** The fraction of transactions whose answer is lost and that are applied late, after newer ones. */
     public double lateWriteRate;
+    /** The shortest delay of such a transaction. */
+    int minLateWriteMillis = 2000;
+    /** How much longer than the shortest delay it may take. */
+    int lateWriteSpreadMillis = 10_000;
     /** The fraction of jobs that are cancelled within milliseconds of their completion. */
     public double cancelAtCompletionRate;
     /** Every job is polled and resubmitted within 300 ms of its completion. */
@@ -245,30 +249,8 @@
     final Map<String, Duration> completed;
     /** The duration of tasks; if empty it is drawn between 2 and 8 s. */
     Optional<Duration> taskDuration = Optional.empty();
-    /** Calls of controllers by target ("state", "cloud", "node", "worker"), and key changes in transactions ("writes"). */
-    final Map<String, Integer> callCounts = new TreeMap<>();
-
-    private final int[] openWorkerCalls = new int[3];
-    /** The highest number of concurrent calls to workers by one controller. */
-    public int maxOpenWorkerCalls;
-
-    private void countCall(
-            int from, String address, String target, byte[] body, CompletableFuture<HttpClientResponse> result) {
-        String kind = address.substring(0, address.indexOf(':'));
-        callCounts.merge(kind, 1, Integer::sum);
-        if (target.equals("/txn")) {
-            try {
-                callCounts.merge(
-                        "writes", MessagePackCodec.read(body).path("apply").size(), Integer::sum);
-            } catch (MalformedMessageException e) {
-                throw new IllegalStateException(e);
-            }
-        }
-        if (kind.equals("worker")) {
-            maxOpenWorkerCalls = Math.max(maxOpenWorkerCalls, ++openWorkerCalls[from]);
-            result.whenComplete((response, e) -> openWorkerCalls[from]--);
-        }
-    }
+
+    final ControllerCalls calls = new ControllerCalls(3);
 
     /** Kills a controller and starts a new process of the same name after the pause. */
     void crash(int i, Duration pause) {
@@ -276,7 +258,7 @@
             return; // already down: a second restart would start two processes of the same name
         }
         processes[i].kill();
-        openWorkerCalls[i] = 0;
+        calls.controllerEnded(i);
         controllers[i] = null;
         sim.after(pause, () -> startController(i));
     }
@@ -361,14 +343,14 @@
     private HttpClient caller(VirtualTime.SimulatedProcess owner, int from) {
         return (address, method, target, body, type, timeout) -> {
             var result = new CompletableFuture<HttpClientResponse>();
-            countCall(from, address, target, body, result);
+            calls.count(from, address, target, body, result);
             owner.schedule(
                     timeout, () -> result.completeExceptionally(new HttpCallException("no answer in time", true)));
             boolean duplicated = sim.random.nextDouble() < duplicateRate && address.startsWith("worker");
             if (lateWriteRate > 0 && target.equals("/txn") && sim.random.nextDouble() < lateWriteRate) {
                 recordEvent("late write");
                 sim.after(
-                        2000 + sim.random.nextInt(10_000),
+                        minLateWriteMillis + sim.random.nextInt(lateWriteSpreadMillis),
                         () -> deliver(owner, from, address, method, target, body, new CompletableFuture<>()));
                 return result;
             }
@@ -411,6 +393,13 @@
         if (isLost(from, address, worker)) {
             return;
         }
+        if (worker != null && worker.refusesConnections) {
+            sim.after(
+                    delay(),
+                    () -> owner.arrive(
+                            () -> result.completeExceptionally(new HttpCallException("connection refused", false))));
+            return;
+        }
         if (delayNextRental && address.startsWith("cloud") && target.equals("/rentals")) {
             delayNextRental = false; // applied 30 s later, the answer is lost
             sim.after(30_000, () -> deliver(owner, from, address, method, target, body, new CompletableFuture<>()));
@@ -540,7 +529,7 @@
                     || blocked.contains(node + from.id)) {
                 return;
             }
-            if (c == null || target.isDead()) {
+            if (c == null || target.isDead() || from.refusesConnections) {
                 answer.accept(0, MessagePackCodec.map()); // connection refused
                 return;
             }
--- a/src/test/java/org/dunespindle/sim/StoredAllocations.java
+++ b/src/test/java/org/dunespindle/sim/StoredAllocations.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -12,17 +13,20 @@
 
 /**
  * Checks the allocations of each team at every revision of the store. A stored allocation beyond the limit is a violation even if its
- * tasks never reach a machine, and so is a team record whose bound is below the stored use when it is written.
+ * tasks never reach a machine, and so are a team record whose bound is below the stored use when it is written, and a release of a task
+ * that is still on its machine.
  */
 final class StoredAllocations implements FakeStateStore.Listener {
     private static final double ROUNDING = 1e-6;
     private final SimulatedCluster cluster;
+    private final ReleasedAllocations releasedAllocations;
     private StateReplica replica;
     /** The highest use beyond its limit seen so far for each team; only a new maximum is reported. */
     private final Map<String, Double> excess = new TreeMap<>();
 
     StoredAllocations(SimulatedCluster cluster) {
         this.cluster = cluster;
+        this.releasedAllocations = new ReleasedAllocations(cluster);
         this.replica = emptyReplica();
     }
 
@@ -41,7 +45,12 @@
             changesJobs |=
                     change.getKey().startsWith(Keys.JOB) || change.getKey().startsWith(Keys.CHUNK);
         }
+        List<JobRecord> changedJobs = changes.keySet().stream()
+                .filter(key -> key.startsWith(Keys.JOB))
+                .flatMap(key -> replica.job(key.substring(Keys.JOB.length())).stream())
+                .toList();
         replica.applyCommitted(transaction, revision);
+        changedJobs.forEach(before -> releasedAllocations.check(before, replica.job(before.id()), revision));
         if (changesJobs) {
             checkLimits(revision);
         }
