job: placements store only terminations that the latest status still shows

Suspected, not shown: a placement stores the pending terminations of its job along with it. Collecting them again costs a pass over the machines with terminations per plan.

--- a/src/main/java/org/dunespindle/job/PlacementWriter.java
+++ b/src/main/java/org/dunespindle/job/PlacementWriter.java
@@ -107,6 +107,7 @@
         if (plan.bindings().isEmpty()) {
             return;
         }
+        terminationWriter.collectPending();
         // Counts both stored and proposed allocations. After this controller proposed a placement, others may have
         // stored more tasks of the job and a new reservation of its team, so the proposed record must not replace the
         // stored one here.
--- a/src/main/java/org/dunespindle/job/TerminationWriter.java
+++ b/src/main/java/org/dunespindle/job/TerminationWriter.java
@@ -55,6 +55,7 @@
     private final JobRecordWriter jobWriter;
     private final TerminationBatching batching;
     private final int maxMachinesPerTransaction;
+    private List<TaskTermination> onLostMachines = List.of();
     private Map<String, List<PendingTermination>> pendingByJob = Map.of();
 
     /** Creates the writer of one controller. */
@@ -94,15 +95,21 @@
     }
 
     /** Proposes all terminations that are due, both those reported by workers and the given ones of tasks on lost machines. */
-    public void storePending(List<TaskTermination> onLostMachines) {
+    public void storePending(List<TaskTermination> terminationsOnLostMachines) {
         batching.checkQuotas();
-        pendingByJob = pendingByJob(onLostMachines);
+        onLostMachines = terminationsOnLostMachines;
+        collectPending();
         pendingByJob.forEach((id, pending) -> replica.job(id)
                 .filter(job -> !commitQueue.isLocked(Keys.job(id)) && batching.isDue(job, pending))
                 .ifPresent(this::storePending));
     }
 
-    private Map<String, List<PendingTermination>> pendingByJob(List<TaskTermination> onLostMachines) {
+    /** Collects the pending terminations again: those of the last call may be obsolete once any machine has been reconciled. */
+    void collectPending() {
+        pendingByJob = pendingByJob();
+    }
+
+    private Map<String, List<PendingTermination>> pendingByJob() {
         var byJob = new LinkedHashMap<String, List<PendingTermination>>();
         for (String machineId : workerClient.machinesWithTerminations()) {
             WorkerState worker = workers.getOrCreate(machineId);
