--- a/src/main/java/org/dunespindle/control/WorkerState.java
+++ b/src/main/java/org/dunespindle/control/WorkerState.java
@@ -19,6 +19,7 @@
     private Duration lastNewStatusAt = Duration.ZERO;
     private boolean callInFlight;
     private boolean inspectionInFlight;
+    private Optional<Duration> inspectionUnansweredAt = Optional.empty();
     private Optional<Long> unansweredStartToken = Optional.empty();
     private Duration startUnansweredAt = Duration.ZERO;
     private Optional<Duration> commandsUnconfirmedSince = Optional.empty();
@@ -165,8 +166,14 @@
     }
 
     /** Records that an inspection was answered or has failed. */
-    public void inspectionEnded() {
+    public void inspectionEnded(boolean answered, Duration now) {
         inspectionInFlight = false;
+        inspectionUnansweredAt = answered ? Optional.empty() : Optional.of(now);
+    }
+
+    /** When the last inspection by any component failed; empty if it was answered. */
+    public Optional<Duration> inspectionUnansweredAt() {
+        return inspectionUnansweredAt;
     }
 
     /** The token of a {@code run} command that went unanswered and may still take effect; empty once it is fenced. */
--- a/src/main/java/org/dunespindle/controller/DecisionLoop.java
+++ b/src/main/java/org/dunespindle/controller/DecisionLoop.java
@@ -83,6 +83,7 @@
         parts.workers.workerClient.reconcilePending();
         boolean scanDue = scanIsDue();
         if (scanDue) {
+            parts.workers.cancellationDeadlines.update();
             parts.jobs.terminationWriter.storePending(
                     parts.shared.membership.isLeader() ? terminationsOnLostMachines() : List.of());
         }
@@ -104,7 +105,11 @@
         parts.machines.shardOwnership.tick(plan);
         if (parts.shared.replica.staleness().compareTo(MAX_STALENESS_FOR_PLACEMENT) > 0
                 || parts.machines.catalog.types().isEmpty()) {
-            return; // an outage of the state store or the cloud: running tasks continue, no tasks are placed
+            // An outage of the state store or the cloud: running tasks continue, no tasks are placed.
+            if (parts.shared.membership.isLeader() && !parts.health.isPartitioned()) {
+                parts.machines.fleetManager.endCancelledTasks();
+            }
+            return;
         }
         if (parts.shared.membership.isLeader()) {
             parts.jobs.gangLifecycle.tick();
--- a/src/main/java/org/dunespindle/controller/MachineParts.java
+++ b/src/main/java/org/dunespindle/controller/MachineParts.java
@@ -14,6 +14,7 @@
 import org.dunespindle.machine.ShardOwnership;
 import org.dunespindle.scheduling.ServiceLevelObjectives;
 import org.dunespindle.transport.HttpClient;
+import org.dunespindle.worker.FailureDetector;
 
 /** The components that manage the cell's machine fleet and this controller's shard of it. */
 final class MachineParts {
@@ -42,11 +43,17 @@
                 new MachineProvisioner(context, machineWriter, cloud, catalog, objectives, terminator::isTerminated);
         var inventory = new CloudInventory(context, machineWriter, cloud, provisioner, terminator);
         var quarantine = new Quarantine(crashLoopDetector, workers.peerHeartbeats, shared.timeSource, shared.options);
+        var failureDetector = new FailureDetector(
+                context,
+                workers.workerClient,
+                workers.peerHeartbeats,
+                workers.cancellationDeadlines,
+                inventory::address);
         fleetManager = new FleetManager(
                 context,
                 machineWriter,
                 workers.workerClient,
-                workers.peerHeartbeats,
+                failureDetector,
                 quarantine,
                 shared.options,
                 new FleetManager.CloudServices(inventory, catalog, provisioner, terminator));
--- a/src/main/java/org/dunespindle/controller/WorkerParts.java
+++ b/src/main/java/org/dunespindle/controller/WorkerParts.java
@@ -10,6 +10,7 @@
 import org.dunespindle.peer.WriteRateAllocator;
 import org.dunespindle.protocol.Settings;
 import org.dunespindle.transport.HttpClient;
+import org.dunespindle.worker.CancellationDeadlines;
 import org.dunespindle.worker.CancellationTracker;
 import org.dunespindle.worker.HeartbeatHandler;
 import org.dunespindle.worker.PartitionDetector;
@@ -19,6 +20,7 @@
 /** The components that communicate with workers and with the other controllers of the cell. */
 final class WorkerParts {
     final CancellationTracker cancellationTracker;
+    final CancellationDeadlines cancellationDeadlines;
     final PendingPreemptions pendingPreemptions = new PendingPreemptions();
     final ProposedTerminations proposedTerminations;
     final WorkerClient workerClient;
@@ -31,6 +33,7 @@
         Settings settings = shared.settings;
         ControllerContext context = shared.context;
         cancellationTracker = new CancellationTracker(settings, shared.replica, shared.timeSource);
+        cancellationDeadlines = new CancellationDeadlines(context, cancellationTracker);
         proposedTerminations = new ProposedTerminations(shared.replica);
         workerClient = new WorkerClient(
                 context,
--- a/src/main/java/org/dunespindle/machine/CloudInventory.java
+++ b/src/main/java/org/dunespindle/machine/CloudInventory.java
@@ -53,7 +53,7 @@
     }
 
     /** A machine's listed address. The record of a rented machine lacks the address until its first heartbeat. */
-    Optional<String> address(String machineId) {
+    public Optional<String> address(String machineId) {
         return find(machineId).map(ListedMachine::address).filter(address -> !address.isEmpty());
     }
 
--- a/src/main/java/org/dunespindle/machine/DrainReason.java
+++ b/src/main/java/org/dunespindle/machine/DrainReason.java
@@ -17,6 +17,8 @@
     static final DrainReason RUNNING_WITHOUT_HEARTBEAT =
             new DrainReason(Procedure.TERMINATE, "it runs but no controller hears it");
     static final DrainReason BOOT_TIMED_OUT = new DrainReason(Procedure.TERMINATE, "it did not come up in time");
+    static final DrainReason CANCELLED_TASKS_DUE =
+            new DrainReason(Procedure.TERMINATE, "it is silent, and cancelled tasks on it must end");
     static final DrainReason UNREACHABLE_FOR_COMMANDS =
             new DrainReason(Procedure.TERMINATE, "it reports but takes no commands");
 
--- a/src/main/java/org/dunespindle/machine/FleetManager.java
+++ b/src/main/java/org/dunespindle/machine/FleetManager.java
@@ -7,7 +7,6 @@
 import org.dunespindle.control.ControllerContext;
 import org.dunespindle.control.MachineRecordWriter;
 import org.dunespindle.control.Options;
-import org.dunespindle.peer.PeerHeartbeats;
 import org.dunespindle.scheduling.Plan;
 import org.dunespindle.storage.MachineRecord;
 import org.dunespindle.storage.TransactionResult;
@@ -45,7 +44,7 @@
             ControllerContext context,
             MachineRecordWriter machineWriter,
             WorkerClient workerClient,
-            PeerHeartbeats peerHeartbeats,
+            FailureDetector failureDetector,
             Quarantine quarantine,
             Supplier<Options> options,
             CloudServices cloud) {
@@ -55,7 +54,7 @@
         this.inventory = cloud.inventory;
         this.provisioner = cloud.provisioner;
         this.terminator = cloud.terminator;
-        this.failureDetector = new FailureDetector(context, workerClient, peerHeartbeats, inventory::address);
+        this.failureDetector = failureDetector;
         this.bootDeadlines = new BootDeadlines(context, cloud.catalog);
         this.evaluator = new MachineEvaluator(
                 context, workerClient, failureDetector, quarantine, inventory, bootDeadlines, options);
@@ -95,6 +94,24 @@
         provisioner.rent(plan);
     }
 
+    /**
+     * Terminates silent machines whose cancelled tasks must end now, and nothing else: in an outage of the state service no other
+     * decision is made, but users rely on the end of these tasks. The termination itself needs no write.
+     */
+    public void endCancelledTasks() {
+        Duration now = context.timeSource().now();
+        if (leadingSince.isEmpty() || now.compareTo(nextEvaluationAt) < 0) {
+            return;
+        }
+        nextEvaluationAt = now.plus(EVALUATION_INTERVAL);
+        for (MachineRecord machine : List.copyOf(context.replica().machines().values())) {
+            if (!terminator.isTerminating(machine)) {
+                evaluator.evaluateCancelledTasks(machine).ifPresent(reason -> retire(machine, reason));
+            }
+        }
+        terminator.terminateDue();
+    }
+
     /** Discards the leader's observations, which are not valid in a later term. Called while this controller is not the leader. */
     public void discardLeaderState() {
         if (leadingSince.isPresent()) {
@@ -134,10 +151,9 @@
     private void evaluateAll(Duration now, Duration leadingSince, Plan plan) {
         failureDetector.updateOutages(leadingSince, bootDeadlines::isPastBootTime);
         for (MachineRecord machine : List.copyOf(context.replica().machines().values())) {
-            if (terminator.isTerminating(machine) || machineWriter.hasPendingChange(machine.id())) {
-                continue;
+            if (!terminator.isTerminating(machine) && !machineWriter.hasPendingChange(machine.id())) {
+                evaluator.evaluate(machine, plan, now, leadingSince).ifPresent(reason -> retire(machine, reason));
             }
-            evaluator.evaluate(machine, plan, now, leadingSince).ifPresent(reason -> retire(machine, reason));
         }
     }
 
--- a/src/main/java/org/dunespindle/machine/MachineEvaluator.java
+++ b/src/main/java/org/dunespindle/machine/MachineEvaluator.java
@@ -62,15 +62,32 @@
      */
     Optional<DrainReason> evaluate(MachineRecord machine, Plan plan, Duration now, Duration leadingSince) {
         idleTracker.observe(machine, plan, now);
-        Optional<ListedMachine> listed = inventory.find(machine.id());
-        if (listed.filter(ListedMachine::failed).isPresent()) {
+        if (quarantine.isTerminationDue(machine) && !isListedAsFailed(machine)) {
+            return Optional.of(DrainReason.FAILS_TASKS);
+        }
+        Optional<DrainReason> loss = evaluateLoss(machine, now, leadingSince);
+        if (loss.isPresent()) {
+            return loss;
+        }
+        boolean seen = failureDetector.lastSeen(machine).isPresent();
+        return seen && idleTracker.isIdleTooLong(machine, now) ? Optional.of(DrainReason.IDLE) : Optional.empty();
+    }
+
+    private boolean isListedAsFailed(MachineRecord machine) {
+        return inventory.find(machine.id()).filter(ListedMachine::failed).isPresent();
+    }
+
+    /** Returns why a machine counts as lost, so that it is terminated without waiting for its tasks; empty if it doesn't. */
+    Optional<DrainReason> evaluateLoss(MachineRecord machine, Duration now, Duration leadingSince) {
+        if (isListedAsFailed(machine)) {
             return Optional.of(DrainReason.FAILED);
         }
-        if (quarantine.isTerminationDue(machine)) {
-            return Optional.of(DrainReason.FAILS_TASKS);
+        Optional<DrainReason> cancellation = evaluateCancelledTasks(machine);
+        if (cancellation.isPresent()) {
+            return cancellation;
         }
         if (failureDetector.lastSeen(machine).isEmpty()) {
-            return evaluateWithoutHeartbeat(machine, listed, now, leadingSince);
+            return evaluateWithoutHeartbeat(machine, now, leadingSince);
         }
         Duration heartbeatAge = failureDetector.timeSinceLastSeen(machine, leadingSince);
         if (failureDetector.hasFailed(machine, heartbeatAge, heartbeatTimeout(machine))) {
@@ -79,12 +96,18 @@
         if (isUnreachableForCommands(machine, heartbeatAge, leadingSince)) {
             return Optional.of(DrainReason.UNREACHABLE_FOR_COMMANDS);
         }
-        return idleTracker.isIdleTooLong(machine, now) ? Optional.of(DrainReason.IDLE) : Optional.empty();
+        return Optional.empty();
+    }
+
+    /** Returns a reason to terminate a machine if it is silent and cancelled tasks on it must end now. */
+    Optional<DrainReason> evaluateCancelledTasks(MachineRecord machine) {
+        return failureDetector.holdsCancelledTasksTooLong(machine)
+                ? Optional.of(DrainReason.CANCELLED_TASKS_DUE)
+                : Optional.empty();
     }
 
     /** Evaluates a machine from which no controller has received a heartbeat since it was rented. */
-    private Optional<DrainReason> evaluateWithoutHeartbeat(
-            MachineRecord machine, Optional<ListedMachine> listed, Duration now, Duration leadingSince) {
+    private Optional<DrainReason> evaluateWithoutHeartbeat(MachineRecord machine, Duration now, Duration leadingSince) {
         Duration heartbeatTimeout = options.get().failureTimeout();
         Duration leadingFor = context.pauseDetector().observedTimeSince(leadingSince);
         Duration withoutHeartbeatFor = now.minus(withoutHeartbeatSince.computeIfAbsent(machine.id(), id -> now));
@@ -92,9 +115,11 @@
                 || failureDetector.isLikelyPartitioned(machine, leadingFor)) {
             return Optional.empty();
         }
-        boolean runningWithoutHeartbeat =
-                listed.filter(row -> row.phase().equals("running")).isPresent()
-                        && withoutHeartbeatFor.compareTo(heartbeatTimeout.plus(EXTRA_TIMEOUT_WHILE_RUNNING)) > 0;
+        boolean runningWithoutHeartbeat = inventory
+                        .find(machine.id())
+                        .filter(row -> row.phase().equals("running"))
+                        .isPresent()
+                && withoutHeartbeatFor.compareTo(heartbeatTimeout.plus(EXTRA_TIMEOUT_WHILE_RUNNING)) > 0;
         boolean bootTimedOut = bootDeadlines.exceeds(machine, options.get().bootTimeoutMultiple());
         if ((!runningWithoutHeartbeat && !bootTimedOut) || failureDetector.mayBeAlive(machine)) {
             return Optional.empty();
--- /dev/null
+++ b/src/main/java/org/dunespindle/worker/CancellationDeadlines.java
@@ -0,0 +1,79 @@
+package org.dunespindle.worker;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.dunespindle.control.ControllerContext;
+import org.dunespindle.storage.JobRecord;
+import org.dunespindle.storage.PlacedTask;
+
+/**
+ * Until when the tasks of cancelled jobs may stay on machines that give no sign of life. A user who was told of a cancellation relies on
+ * the end of its tasks within the cancellation timeout. A machine behind a partition ends them by itself when its lease expires, a
+ * hanging machine doesn't, and the two can't be told apart; so the machine is terminated shortly before the timeout.
+ *
+ * <p>When a user was told isn't stored. It was not before the time up to which this controller knew all cancellations when it didn't know
+ * this one yet. Cancellations that a process finds at its start may have been confirmed at any time before, so they are due as soon as
+ * healthy workers have had the time to find this controller.
+ */
+public final class CancellationDeadlines {
+    /** The time that an inspection of a machine and its termination take, with one retry. */
+    private static final Duration TERMINATION_TIME = Duration.ofSeconds(8);
+
+    private static final Duration UPDATE_INTERVAL = Duration.ofMillis(500);
+
+    private final ControllerContext context;
+    private final CancellationTracker cancellationTracker;
+    private final Duration timeUntilDue;
+    /** By job that was cancelled and has allocations: from when on its tasks on silent machines must be ended. */
+    private final Map<String, Duration> dueAt = new HashMap<>();
+
+    private Duration nextUpdateAt = Duration.ZERO;
+    /** When a cancellation that becomes known in the next update is due; empty before the first update. */
+    private Optional<Duration> dueAtOfNext = Optional.empty();
+
+    /** Creates deadlines for the cancellations that the tracker knows. */
+    public CancellationDeadlines(ControllerContext context, CancellationTracker cancellationTracker) {
+        this.context = context;
+        this.cancellationTracker = cancellationTracker;
+        this.timeUntilDue = context.settings().workers().cancellationTimeout().minus(TERMINATION_TIME);
+    }
+
+    /** Records the cancellations that have become known. Called regularly on every controller, since any may become the leader. */
+    public void update() {
+        Duration now = context.timeSource().now();
+        if (now.compareTo(nextUpdateAt) < 0) {
+            return;
+        }
+        nextUpdateAt = now.plus(UPDATE_INTERVAL);
+        Duration dueAtOfNew = dueAtOfNext.orElse(
+                now.plus(WorkerReachability.silenceLimit(context.settings().workers())));
+        Set<String> cancelled = new HashSet<>();
+        for (JobRecord job : context.replica().activeJobs()) {
+            if (cancellationTracker.isCancelled(job)) {
+                cancelled.add(job.id());
+                dueAt.putIfAbsent(job.id(), dueAtOfNew);
+            }
+        }
+        dueAt.keySet().retainAll(cancelled);
+        dueAtOfNext = Optional.of(now.minus(cancellationTracker.staleness()).plus(timeUntilDue));
+    }
+
+    /** Whether a machine holds tasks of cancelled jobs that must be ended now if the machine gives no sign of life. */
+    boolean isDue(String machineId) {
+        if (dueAt.isEmpty()) {
+            return false;
+        }
+        Duration now = context.timeSource().now();
+        for (PlacedTask placed : context.replica().allocationsOn(machineId)) {
+            Duration due = dueAt.get(placed.job().id());
+            if (due != null && due.compareTo(now) <= 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- a/src/main/java/org/dunespindle/worker/GroupOutageDetector.java
+++ b/src/main/java/org/dunespindle/worker/GroupOutageDetector.java
@@ -9,7 +9,6 @@
 import java.util.function.Predicate;
 import org.dunespindle.control.ControllerContext;
 import org.dunespindle.storage.MachineRecord;
-import org.dunespindle.time.Durations;
 
 /**
  * Finds zones and controllers with outages. When most machines of a zone or of an owner send no heartbeats at the same time, a
@@ -17,8 +16,6 @@
  */
 final class GroupOutageDetector {
     private static final int MIN_MACHINES_FOR_OUTAGE = 4;
-    /** How late, beyond two heartbeat intervals, the next sign of life of a healthy worker may be. */
-    private static final Duration MAX_HEARTBEAT_DELAY = Duration.ofSeconds(2);
     /** After an outage, the heartbeats of some machines resume later than those of others. */
     private static final Duration RECOVERY_TIME = Duration.ofSeconds(5);
 
@@ -66,8 +63,7 @@
             Duration leadingSince,
             Function<MachineRecord, Optional<Duration>> lastSeen,
             Predicate<MachineRecord> isPastBootTime) {
-        Duration timeout = Durations.multiply(context.settings().workers().heartbeatInterval(), 2)
-                .plus(MAX_HEARTBEAT_DELAY);
+        Duration timeout = WorkerReachability.silenceLimit(context.settings().workers());
         var counts = new HashMap<Group, MachineCount>();
         for (MachineRecord machine : context.replica().machines().values()) {
             Optional<Duration> seenAt = lastSeen.apply(machine);
--- a/src/main/java/org/dunespindle/worker/SuspectInspection.java
+++ b/src/main/java/org/dunespindle/worker/SuspectInspection.java
@@ -71,9 +71,26 @@
 
     /** Whether a suspected machine may be alive: its worker answers inspections, or an inspection has just been started. */
     boolean mayBeAlive(MachineRecord machine) {
-        if (hasRecentFailure(machine.id()) || hasAnsweredTooOften(machine.id())) {
-            return false;
-        }
+        return !hasRecentFailure(machine.id()) && !hasAnsweredTooOften(machine.id()) && inspect(machine);
+    }
+
+    /**
+     * Whether a suspected machine doesn't answer. Unlike {@link #mayBeAlive}, this accepts an inspection by any component of this
+     * controller: while other inspections of the machine are in flight again and again, none can be started here.
+     *
+     * @param lastSeen when the machine last gave a sign of life; an inspection before that proves nothing
+     */
+    boolean isUnanswered(MachineRecord machine, Optional<Duration> lastSeen) {
+        boolean unanswered = workerClient
+                .inspectionUnansweredAt(machine.id())
+                .filter(failedAt -> lastSeen.isEmpty() || failedAt.compareTo(lastSeen.get()) > 0)
+                .filter(this::isRecent)
+                .isPresent();
+        return unanswered || !inspect(machine);
+    }
+
+    /** Starts an inspection, unless one is in flight or too many calls are; false if the machine has no known address. */
+    private boolean inspect(MachineRecord machine) {
         String address = address(machine);
         if (address.isEmpty()) {
             return false;
@@ -84,7 +101,11 @@
 
     private boolean hasRecentFailure(String machineId) {
         Duration failedAt = unansweredAt.get(machineId);
-        return failedAt != null && timeSource.now().minus(failedAt).compareTo(FAILURE_RETENTION) < 0;
+        return failedAt != null && isRecent(failedAt);
+    }
+
+    private boolean isRecent(Duration failedAt) {
+        return timeSource.now().minus(failedAt).compareTo(FAILURE_RETENTION) < 0;
     }
 
     private boolean hasAnsweredTooOften(String machineId) {
--- a/src/main/java/org/dunespindle/worker/WorkerClient.java
+++ b/src/main/java/org/dunespindle/worker/WorkerClient.java
@@ -9,6 +9,7 @@
 import org.dunespindle.control.ControllerContext;
 import org.dunespindle.control.MachineRecordWriter;
 import org.dunespindle.control.ProposedTerminations;
+import org.dunespindle.control.WorkerRegistry;
 import org.dunespindle.control.WorkerState;
 import org.dunespindle.storage.MachineRecord;
 import org.dunespindle.storage.StateReplica;
@@ -18,6 +19,7 @@
 /** The worker operations that other packages use: reconciliation, reachability and ownership of the workers' machines. */
 public final class WorkerClient {
     private final StateReplica replica;
+    private final WorkerRegistry workers;
     private final ReconciliationQueue reconciliationQueue;
     private final WorkerReachability reachability;
     private final EffectiveAllocations allocations;
@@ -44,12 +46,13 @@
             Runnable wakeEventLoop) {
         var callLimiter = new ConcurrentCallLimiter(context.settings().sockets());
         this.replica = context.replica();
+        this.workers = context.workers();
         this.reconciliationQueue = new ReconciliationQueue(wakeEventLoop);
         this.reachability = new WorkerReachability(context);
         this.allocations = new EffectiveAllocations(replica, pendingPreemptions, cancellationTracker);
         this.statusRecorder = new WorkerStatusRecorder(context, reconciliationQueue);
-        this.inspector =
-                new WorkerInspector(context.workers(), httpClient, callLimiter, reconciliationQueue, statusRecorder);
+        this.inspector = new WorkerInspector(
+                context.workers(), httpClient, callLimiter, reconciliationQueue, statusRecorder, context.timeSource());
         this.commandSender = new WorkerCommandSender(
                 context, httpClient, callLimiter, reconciliationQueue, reachability, statusRecorder, allocations);
         this.statusReconciliation =
@@ -134,6 +137,11 @@
         return reachability.commandsBlockedFor(machineId);
     }
 
+    /** When the last inspection of a machine failed; empty if it was answered or there was none. */
+    Optional<Duration> inspectionUnansweredAt(String machineId) {
+        return workers.find(machineId).flatMap(WorkerState::inspectionUnansweredAt);
+    }
+
     /** Whether a worker's heartbeats no longer arrive, although it may still answer inspections. */
     public boolean areHeartbeatsOverdue(WorkerState worker) {
         return reachability.areHeartbeatsOverdue(worker);
--- a/src/main/java/org/dunespindle/worker/WorkerInspector.java
+++ b/src/main/java/org/dunespindle/worker/WorkerInspector.java
@@ -7,6 +7,7 @@
 import org.dunespindle.protocol.MessagePackCodec;
 import org.dunespindle.protocol.WorkerHeartbeat;
 import org.dunespindle.storage.MachineRecord;
+import org.dunespindle.time.TimeSource;
 import org.dunespindle.transport.HttpClient;
 import org.dunespindle.transport.HttpClientResponse;
 
@@ -19,18 +20,21 @@
     private final ConcurrentCallLimiter callLimiter;
     private final ReconciliationQueue reconciliationQueue;
     private final WorkerStatusRecorder statusRecorder;
+    private final TimeSource timeSource;
 
     WorkerInspector(
             WorkerRegistry workers,
             HttpClient httpClient,
             ConcurrentCallLimiter callLimiter,
             ReconciliationQueue reconciliationQueue,
-            WorkerStatusRecorder statusRecorder) {
+            WorkerStatusRecorder statusRecorder,
+            TimeSource timeSource) {
         this.workers = workers;
         this.httpClient = httpClient;
         this.callLimiter = callLimiter;
         this.reconciliationQueue = reconciliationQueue;
         this.statusRecorder = statusRecorder;
+        this.timeSource = timeSource;
     }
 
     /**
@@ -64,9 +68,10 @@
         httpClient
                 .send(address, "GET", "/inspect", NO_BODY, MessagePackCodec.CONTENT_TYPE, INSPECTION_TIMEOUT)
                 .whenComplete((response, failure) -> {
-                    worker.inspectionEnded();
+                    boolean answered = isAnswer(machineId, worker, response);
+                    worker.inspectionEnded(answered, timeSource.now());
                     callLimiter.callEnded(false, reconciliationQueue::add);
-                    onResult.accept(isAnswer(machineId, worker, response));
+                    onResult.accept(answered);
                 });
     }
 
--- a/src/main/java/org/dunespindle/worker/WorkerReachability.java
+++ b/src/main/java/org/dunespindle/worker/WorkerReachability.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.dunespindle.control.ControllerContext;
 import org.dunespindle.control.WorkerState;
+import org.dunespindle.protocol.Settings;
 import org.dunespindle.protocol.WorkerHeartbeat;
 import org.dunespindle.storage.Keys;
 import org.dunespindle.storage.MachineRecord;
@@ -79,6 +80,16 @@
         return isOlderThan(worker.lastHeartbeatAt(), MAX_FAILOVER_DELAY);
     }
 
+    /** Whether a machine's last sign of life to any controller was longer ago than heartbeats may be late. */
+    boolean isSilent(Optional<Duration> lastSeen) {
+        return isOlderThan(lastSeen, MAX_HEARTBEAT_DELAY);
+    }
+
+    /** The time without a sign of life after which a worker counts as silent. */
+    static Duration silenceLimit(Settings.Workers workers) {
+        return Durations.multiply(workers.heartbeatInterval(), 2).plus(MAX_HEARTBEAT_DELAY);
+    }
+
     private boolean isOlderThan(Optional<Duration> lastSeen, Duration beyondTwoIntervals) {
         Duration limit = Durations.multiply(context.settings().workers().heartbeatInterval(), 2)
                 .plus(beyondTwoIntervals);
--- a/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
+++ b/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
@@ -2,7 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -19,6 +21,11 @@
      */
     private static final long[] FORMERLY_FAILING = {25645, 22145, 24021, 23629, 20279, 41553};
 
+    /** Long enough that jobs still run when they are cancelled, and short enough that the others complete. */
+    private static final Duration LONG_TASK = Duration.ofSeconds(20);
+    /** Seeds that once failed: a hanging machine with cancelled tasks was kept for too long. */
+    private static final long[] FORMERLY_CANCELLED_TOO_LATE = {1000, 1001, 1003, 1004, 1060, 1106};
+
     /** Seeds that once failed: a task was started although the release of its allocation could still be applied. */
     private static final long[] FORMERLY_RELEASED_EARLY = {
         1024, 1025, 1045, 1075, 1168, 1194, 1005, 1009, 1027, 1029, 1043, 1065, 1074
@@ -69,6 +76,28 @@
         assertEquals(List.of(), schedule.run(), () -> seed + ": " + schedule.faultLog());
     }
 
+    static LongStream hangingMachineSeeds() {
+        long from = Long.getLong("mix.from", 500);
+        return LongStream.concat(
+                LongStream.of(FORMERLY_CANCELLED_TOO_LATE),
+                LongStream.range(from, from + Integer.getInteger("mix.count", 12)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("hangingMachineSeeds")
+    void invariantsHoldWhenMachinesOfCancelledJobsHang(long seed) {
+        var schedule = new RandomFaultSchedule(
+                seed,
+                seed % 2 == 0
+                        ? RandomFaultSchedule.StateService.UNLIMITED
+                        : RandomFaultSchedule.StateService.LIMITED_AND_SLOW);
+        schedule.cluster().taskDuration = Optional.of(LONG_TASK);
+        schedule.submitJobs(JOBS);
+        schedule.addCancellationsOnHangingMachines(3);
+        schedule.addRandomFaults((int) (seed % 4));
+        assertEquals(List.of(), schedule.run(), () -> seed + ": " + schedule.faultLog());
+    }
+
     private static void runSchedule(long seed, RandomFaultSchedule.StateService stateService) {
         var schedule = new RandomFaultSchedule(seed, stateService);
         schedule.submitJobs(JOBS);
--- a/src/test/java/org/dunespindle/sim/RandomFaultSchedule.java
+++ b/src/test/java/org/dunespindle/sim/RandomFaultSchedule.java
@@ -17,6 +17,7 @@
 
     static final Duration RUN_LENGTH = Duration.ofSeconds(420);
     private static final int MAX_AFFECTED_MACHINES = 3;
+    private static final int MAX_CANCELLED_JOBS = 6;
     private static final double REQUESTS_PER_SECOND = 250;
     private static final double WRITES_PER_SECOND = 20;
 
@@ -60,7 +61,8 @@
         SPOT_INTERRUPTION,
         LEADER_PARTITIONED_FROM_WORKERS,
         MACHINES_REFUSE_CONNECTIONS_TWICE,
-        MOST_WRITES_LATE;
+        MOST_WRITES_LATE,
+        CANCELLED_MACHINES_HANG;
 
         /** The faults that {@link #addRandomFaults} draws from, one independently of the other; a seed depends on their number and order. */
         private static final List<Fault> INDEPENDENT =
@@ -165,6 +167,15 @@
         }
     }
 
+    /** Schedules cancellations of running jobs whose machines hang from then on, for up to twice the cancellation timeout. */
+    void addCancellationsOnHangingMachines(int count) {
+        int from = 8000 + random.nextInt(15_000);
+        for (int i = 0; i < count; i++) {
+            addFault(Fault.CANCELLED_MACHINES_HANG, Duration.ofMillis(from));
+            from += 5000 + random.nextInt(25_000);
+        }
+    }
+
     /** Runs the schedule and returns the violated invariants, the failed criteria of the run and the unfinished jobs. */
     List<String> run() {
         cluster.sim.after(FAULTS_OVER, () -> cluster.faultsOver = true);
@@ -324,6 +335,13 @@
         }
     }
 
+    private void cancelOnHangingMachines(String id) {
+        cluster.sim.after(random.nextInt(200), () -> cluster.cancel(id));
+        cluster.alive().stream()
+                .filter(worker -> worker.hasTaskOf(id))
+                .forEach(worker -> worker.hang(millis(20_000, 2 * (int) SimulatedCluster.CANCEL_TIMEOUT.toMillis())));
+    }
+
     private void userFault(Fault fault) {
         switch (fault) {
             case CANCEL_RUNNING_JOBS -> {
@@ -335,6 +353,13 @@
                     someMachines().forEach(w -> w.hang(millis(2000, 25_000)));
                 }
             }
+            case CANCELLED_MACHINES_HANG -> {
+                int maxJobs = 1 + random.nextInt(MAX_CANCELLED_JOBS);
+                jobIds.stream()
+                        .filter(id -> cluster.lastReportedPhase(id).equals("running"))
+                        .limit(maxJobs)
+                        .forEach(this::cancelOnHangingMachines);
+            }
             case CANCEL_AT_COMPLETION -> {
                 cluster.cancelAtCompletionRate = 0.5;
                 endAfter(millis(20_000, 50_000), () -> cluster.cancelAtCompletionRate = 0);
