machine: draining machines that wait for their tasks can be lost

Cause: a draining machine was never evaluated for loss, and one that drains gracefully waits for the end of its tasks.

Fix: while it waits for its tasks, it is evaluated for loss like any other machine, and terminated without waiting any longer.

--- a/src/main/java/org/dunespindle/machine/FleetManager.java
+++ b/src/main/java/org/dunespindle/machine/FleetManager.java
@@ -105,7 +105,7 @@
         }
         nextEvaluationAt = now.plus(EVALUATION_INTERVAL);
         for (MachineRecord machine : List.copyOf(context.replica().machines().values())) {
-            if (!terminator.isTerminating(machine)) {
+            if (terminator.isWaitingForTasks(machine) || !terminator.isTerminating(machine)) {
                 evaluator.evaluateCancelledTasks(machine).ifPresent(reason -> retire(machine, reason));
             }
         }
@@ -151,7 +151,9 @@
     private void evaluateAll(Duration now, Duration leadingSince, Plan plan) {
         failureDetector.updateOutages(leadingSince, bootDeadlines::isPastBootTime);
         for (MachineRecord machine : List.copyOf(context.replica().machines().values())) {
-            if (!terminator.isTerminating(machine) && !machineWriter.hasPendingChange(machine.id())) {
+            if (terminator.isWaitingForTasks(machine)) {
+                evaluator.evaluateLoss(machine, now, leadingSince).ifPresent(reason -> retire(machine, reason));
+            } else if (!terminator.isTerminating(machine) && !machineWriter.hasPendingChange(machine.id())) {
                 evaluator.evaluate(machine, plan, now, leadingSince).ifPresent(reason -> retire(machine, reason));
             }
         }
--- a/src/main/java/org/dunespindle/machine/MachineTerminator.java
+++ b/src/main/java/org/dunespindle/machine/MachineTerminator.java
@@ -60,6 +60,14 @@
         return machine.draining() || terminatingWithoutDrain.contains(machine.id()) || isTerminated(machine.id());
     }
 
+    /** Whether a draining machine is kept until its tasks have ended; it may be lost before. */
+    boolean isWaitingForTasks(MachineRecord machine) {
+        return machine.draining()
+                && !isClearForTermination(machine)
+                && !terminatingWithoutDrain.contains(machine.id())
+                && !isTerminated(machine.id());
+    }
+
     /**
      * Stores a machine as draining. It is terminated once no further placement is possible and, if the reason permits a graceful drain,
      * its tasks have ended.
--- a/src/test/java/org/dunespindle/sim/HangingCancelledTasksTest.java
+++ b/src/test/java/org/dunespindle/sim/HangingCancelledTasksTest.java
@@ -133,4 +133,14 @@
         cluster.sim.after(Duration.ofSeconds(38), cluster.state::recover);
         assertEndedInTime(cluster, machines);
     }
+
+    /** Guards against a drain that waits for the end of tasks on a machine that hangs. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void hangingMachineIsDraining(long seed) {
+        SimulatedCluster cluster = clusterWithFullMachines(seed);
+        FakeWorker machine = machineByJob.values().iterator().next();
+        cluster.admin(cluster.leader(), "POST", "/v1/hosts/" + machine.id() + "/drain", "");
+        assertEndedInTime(cluster, cancelOnHangingMachines(cluster, 1));
+    }
 }
