--- a/src/test/java/org/dunespindle/machine/DrainReasonCompatibilityTest.java
+++ b/src/test/java/org/dunespindle/machine/DrainReasonCompatibilityTest.java
@@ -16,6 +16,7 @@
         assertEquals("it runs but no controller hears it", DrainReason.RUNNING_WITHOUT_HEARTBEAT.text());
         assertEquals("it did not come up in time", DrainReason.BOOT_TIMED_OUT.text());
         assertEquals("it reports but takes no commands", DrainReason.UNREACHABLE_FOR_COMMANDS.text());
+        assertEquals("it is silent, and cancelled tasks on it must end", DrainReason.CANCELLED_TASKS_DUE.text());
         assertEquals(
                 "it has been silent for 17 s",
                 DrainReason.noHeartbeatFor(Duration.ofMillis(17_900)).text());
@@ -30,6 +31,7 @@
         assertEquals(DrainReason.Procedure.TERMINATE, DrainReason.RUNNING_WITHOUT_HEARTBEAT.procedure());
         assertEquals(DrainReason.Procedure.TERMINATE, DrainReason.BOOT_TIMED_OUT.procedure());
         assertEquals(DrainReason.Procedure.TERMINATE, DrainReason.UNREACHABLE_FOR_COMMANDS.procedure());
+        assertEquals(DrainReason.Procedure.TERMINATE, DrainReason.CANCELLED_TASKS_DUE.procedure());
         assertEquals(
                 DrainReason.Procedure.TERMINATE,
                 DrainReason.noHeartbeatFor(Duration.ofSeconds(17)).procedure());
