--- a/src/main/java/org/dunespindle/AdminCommands.java
+++ b/src/main/java/org/dunespindle/AdminCommands.java
@@ -47,6 +47,7 @@
         commands.put("delegations", "Show jobs delegated to other cells or accepted from them.");
         commands.put("decisions", "Show a controller's latest decisions.");
         commands.put("latency", "Show latencies of decision rounds and calls.");
+        commands.put("replica", "Show what a controller holds in memory, and its reads of single jobs.");
         return commands;
     }
 
--- a/src/main/java/org/dunespindle/api/AdminApi.java
+++ b/src/main/java/org/dunespindle/api/AdminApi.java
@@ -11,7 +11,10 @@
 import org.dunespindle.control.MachineRecordWriter;
 import org.dunespindle.job.TeamQuotas;
 import org.dunespindle.protocol.MessagePackCodec;
+import org.dunespindle.storage.JobLookupResult;
+import org.dunespindle.storage.JobRecord;
 import org.dunespindle.storage.Keys;
+import org.dunespindle.storage.ReplicaStatistics;
 import org.dunespindle.storage.StateReplica;
 import org.dunespindle.transport.HttpStatus;
 
@@ -74,8 +77,7 @@
             return;
         }
         if (method.equals("GET")) {
-            replica.refresh(
-                    () -> answer.accept(read(resource)), () -> answer.accept(AdminResponse.stateServiceUnavailable()));
+            replica.refresh(() -> read(resource, answer), () -> answer.accept(AdminResponse.stateServiceUnavailable()));
         } else if (method.equals("PUT") && resource.equals(OPTIONS)) {
             changes.setOptions(body, answer);
         } else if (method.equals("POST") && resource.startsWith(MACHINES) && resource.endsWith(DRAIN)) {
@@ -85,12 +87,24 @@
         }
     }
 
-    private AdminResponse read(String resource) {
+    private void read(String resource, Consumer<AdminResponse> answer) {
         if (resource.startsWith(JOBS)) {
-            return replica.job(resource.substring(JOBS.length()))
-                    .map(job -> AdminResponse.ok(jobRenderer.details(job)))
-                    .orElseGet(() -> AdminResponse.notFound("no such job"));
+            replica.findJobAfterRefresh(resource.substring(JOBS.length()), result -> answer.accept(jobDetails(result)));
+        } else {
+            answer.accept(read(resource));
+        }
+    }
+
+    private AdminResponse jobDetails(JobLookupResult result) {
+        if (!result.isConclusive()) {
+            return AdminResponse.stateServiceUnavailable();
         }
+        return result.job()
+                .map(job -> AdminResponse.ok(jobRenderer.details(job)))
+                .orElseGet(() -> AdminResponse.notFound("no such job"));
+    }
+
+    private AdminResponse read(String resource) {
         return switch (resource) {
             case "jobs" -> AdminResponse.ok(jobs());
             case "hosts" -> AdminResponse.ok(clusterRenderer.machines());
@@ -99,18 +113,21 @@
             case OPTIONS -> AdminResponse.ok(options());
             case "decisions" -> AdminResponse.ok(events());
             case "latency" -> AdminResponse.ok(latency());
+            case "replica" -> AdminResponse.ok(replicaStatistics());
             default ->
                 AdminResponse.notFound(
-                        "no such path; available are jobs, hosts, teams, controllers, options, decisions, latency");
+                        "no such path; available are jobs, hosts, teams, controllers, options, decisions, latency, replica");
         };
     }
 
     private ObjectNode jobs() {
         ObjectNode body = MessagePackCodec.map();
         ArrayNode list = body.putArray("jobs");
-        replica.activeJobs().forEach(job -> list.add(jobRenderer.summary(job)));
-        long finished =
-                replica.jobs().values().stream().filter(job -> !job.isOpen()).count();
+        long finished = replica.statistics().endedJobs();
+        for (JobRecord job : replica.activeJobs()) {
+            list.add(jobRenderer.summary(job));
+            finished += job.isOpen() ? 0 : 1;
+        }
         return body.put("finished", finished);
     }
 
@@ -126,6 +143,20 @@
         return body;
     }
 
+    private ObjectNode replicaStatistics() {
+        ReplicaStatistics statistics = replica.statistics();
+        return MessagePackCodec.map()
+                .put("controller", nodeName)
+                .put("jobs", statistics.jobs())
+                .put("keys", statistics.keys())
+                .put("cancelledJobs", statistics.cancelledJobs())
+                .put("endedJobs", statistics.endedJobs())
+                .put("cacheHits", statistics.cacheHits())
+                .put("reads", statistics.reads())
+                .put("failedReads", statistics.failedReads())
+                .put("refusedReads", statistics.refusedReads());
+    }
+
     private ObjectNode latency() {
         ObjectNode body = MessagePackCodec.map();
         latencies.forEach((name, histogram) -> body.putObject(name)
--- a/src/main/java/org/dunespindle/api/JobCancellation.java
+++ b/src/main/java/org/dunespindle/api/JobCancellation.java
@@ -55,17 +55,18 @@
             answer.accept(Answer.stateServiceUnavailable());
             return;
         }
-        replica.refresh(
-                () -> cancelCurrent(id, deadline, answer), () -> answer.accept(Answer.stateServiceUnavailable()));
+        replica.findJob(id, result -> {
+            Optional<JobRecord> job = JobStatusReader.own(result);
+            if (job.isPresent()) {
+                cancelCurrent(job.get(), deadline, answer);
+            } else {
+                answer.accept(result.isConclusive() ? JobStatusReader.absent() : Answer.jobUnavailable());
+            }
+        });
     }
 
-    private void cancelCurrent(String id, Duration deadline, Consumer<Answer> answer) {
-        Optional<JobRecord> known = statusReader.findOwn(id);
-        if (known.isEmpty()) {
-            answer.accept(statusReader.absent(id));
-            return;
-        }
-        JobRecord job = known.get();
+    private void cancelCurrent(JobRecord job, Duration deadline, Consumer<Answer> answer) {
+        String id = job.id();
         if (!job.isOpen()) {
             answer.accept(statusReader.status(job));
         } else if (commitQueue.isLocked(Keys.job(id))) {
@@ -101,7 +102,7 @@
                     Answer.retryLater("cell " + cell + ", which may hold the job, has not confirmed the cancellation"));
             return;
         }
-        boolean isSameTransfer = replica.job(id)
+        boolean isSameTransfer = replica.activeJob(id)
                 .filter(job -> job.delegationLink().equals(requested.delegationLink()))
                 .isPresent();
         if (!isSameTransfer || commitQueue.isLocked(Keys.job(id))) {
--- a/src/main/java/org/dunespindle/api/JobSubmission.java
+++ b/src/main/java/org/dunespindle/api/JobSubmission.java
@@ -62,22 +62,37 @@
         }
         if (!replica.isLoaded()) {
             answer.accept(Answer.notLoaded());
-        } else if (statusReader.findOwn(job.id()).isPresent()) {
+        } else if (statusReader.findOwnInMemory(job.id()).isPresent()) {
             // An accepted job is never rejected later, even if the settings have changed so that they would exclude it.
             statusReader.answerCurrent(job.id(), answer);
-        } else if (replica.job(job.id()).isPresent()) {
-            answer.accept(idInUse(job.id()));
+        } else if (replica.mayKnowJob(job.id())) {
+            submitIfNotKnown(job, answer);
         } else {
             acceptIfFeasible(job, answer);
         }
     }
 
-    private Answer idInUse(String id) {
-        String originCell = replica.job(id)
-                .flatMap(JobRecord::inboundDelegation)
-                .orElseThrow()
-                .origin();
-        return Answer.retryLater("the id is in use by a job of cell " + originCell);
+    /** Continues once it is known whether the job has been accepted before; its record may be in the state store only. */
+    private void submitIfNotKnown(Submission job, Consumer<Answer> answer) {
+        if (stateStore.isFailing()) {
+            answer.accept(Answer.stateServiceUnavailable());
+            return;
+        }
+        replica.findJob(job.id(), result -> {
+            if (!result.isConclusive()) {
+                answer.accept(Answer.jobUnavailable());
+            } else if (result.job().isPresent()) {
+                answer.accept(answerKnown(result.job().get()));
+            } else {
+                acceptIfFeasible(job, answer);
+            }
+        });
+    }
+
+    private Answer answerKnown(JobRecord job) {
+        return job.inboundDelegation()
+                .map(inbound -> Answer.retryLater("the id is in use by a job of cell " + inbound.origin()))
+                .orElseGet(() -> statusReader.status(job));
     }
 
     private void acceptIfFeasible(Submission job, Consumer<Answer> answer) {
@@ -89,7 +104,7 @@
         Optional<String> infeasibilityReason =
                 SubmissionFeasibility.infeasibilityReason(job, types.get(), context.settings());
         if (infeasibilityReason.isPresent()) {
-            reject(job.id(), infeasibilityReason.get(), answer);
+            reject(job.id(), Answer.error(HttpStatus.UNPROCESSABLE, infeasibilityReason.get()), answer);
         } else if (stateStore.isFailing()) {
             answer.accept(Answer.stateServiceUnavailable());
         } else {
@@ -98,13 +113,15 @@
     }
 
     /** Rejects a job permanently, unless another controller has accepted it in the meantime. */
-    private void reject(String id, String reason, Consumer<Answer> answer) {
-        replica.refresh(
-                () -> answer.accept(statusReader
-                        .findOwn(id)
-                        .map(statusReader::status)
-                        .orElseGet(() -> Answer.error(HttpStatus.UNPROCESSABLE, reason))),
-                () -> answer.accept(Answer.stateServiceUnavailable()));
+    private void reject(String id, Answer rejection, Consumer<Answer> answer) {
+        replica.findJob(id, result -> {
+            if (!result.isConclusive()) {
+                answer.accept(Answer.jobUnavailable());
+            } else {
+                answer.accept(
+                        JobStatusReader.own(result).map(statusReader::status).orElse(rejection));
+            }
+        });
     }
 
     private void store(Submission job, Consumer<Answer> answer) {
@@ -112,9 +129,8 @@
         int size = MessagePackCodec.jsonSize(record.toNode());
         int maxSize = context.jobWriter().maxSubmissionBytes();
         if (size > maxSize) {
-            answer.accept(Answer.error(
-                    HttpStatus.BAD_REQUEST,
-                    "the job's description takes " + size + " bytes, at most " + maxSize + " are allowed"));
+            String reason = "the job's description takes " + size + " bytes, at most " + maxSize + " are allowed";
+            reject(job.id(), Answer.error(HttpStatus.BAD_REQUEST, reason), answer);
         } else if (commitQueue.isLocked(Keys.job(job.id()))) {
             answer.accept(Answer.retrySoon("this submission is already being stored"));
         } else if (commitQueue.pendingCount(CommitPriority.USERS) >= maxTransactionsWaiting) {
@@ -138,10 +154,14 @@
         if (result instanceof TransactionResult.Applied) {
             answer.accept(Answer.of(
                     HttpStatus.CREATED, MessagePackCodec.map().put("id", id).put("phase", "queued")));
-        } else if (statusReader.findOwn(id).isPresent() && !(result instanceof TransactionResult.Refused)) {
-            statusReader.answerCurrent(id, answer);
-        } else {
+        } else if (result instanceof TransactionResult.Refused) {
             answer.accept(Answer.stateServiceUnavailable());
+        } else {
+            replica.findJob(
+                    id,
+                    found -> answer.accept(JobStatusReader.own(found)
+                            .map(statusReader::status)
+                            .orElseGet(Answer::stateServiceUnavailable)));
         }
     }
 }
--- a/src/main/java/org/dunespindle/api/UserApi.java
+++ b/src/main/java/org/dunespindle/api/UserApi.java
@@ -57,6 +57,10 @@
                     "the state service does not answer; it is not confirmed that the request was carried out");
         }
 
+        static Answer jobUnavailable() {
+            return retrySoon("the job's record cannot be read now; whether the job was accepted is not known");
+        }
+
         private static Answer unavailable(String reason, Duration retryAfter) {
             return new Answer(
                     HttpStatus.SERVICE_UNAVAILABLE,
--- a/src/main/java/org/dunespindle/control/OversizeRecordSplitter.java
+++ b/src/main/java/org/dunespindle/control/OversizeRecordSplitter.java
@@ -51,7 +51,7 @@
         nextScanAt = now.plus(SCAN_INTERVAL);
         fittingRevisions
                 .keySet()
-                .removeIf(id -> replica.job(id).flatMap(JobRecord::spec).isEmpty());
+                .removeIf(id -> replica.activeJob(id).flatMap(JobRecord::spec).isEmpty());
         findOversizeRecord().ifPresent(this::split);
     }
 
--- a/src/main/java/org/dunespindle/control/ProposedTerminations.java
+++ b/src/main/java/org/dunespindle/control/ProposedTerminations.java
@@ -75,8 +75,10 @@
                 .map(Proposal::termination);
     }
 
+    /** The job was active when the termination was proposed: if it no longer is, its record has changed too. */
     private boolean isDecided(Proposal proposal) {
-        return replica.modRevision(Keys.job(proposal.termination.job())) > proposal.jobRevision;
+        String job = proposal.termination.job();
+        return replica.activeJob(job).isEmpty() || replica.modRevision(Keys.job(job)) > proposal.jobRevision;
     }
 
     private static TaskId taskOf(TaskTermination termination) {
--- a/src/main/java/org/dunespindle/controller/LoadReporter.java
+++ b/src/main/java/org/dunespindle/controller/LoadReporter.java
@@ -58,6 +58,7 @@
         lastReportAt = now;
         LOG.debug("accelerators in use byClassAndPhase={}", acceleratorsByPhase());
         logRates();
+        LOG.debug("replica {}", context.replica().statistics());
         logLatencies();
     }
 
@@ -113,7 +114,7 @@
 
     private void add(Map<String, Double> byPhase, TaskStatus task) {
         context.replica()
-                .job(task.task().job())
+                .activeJob(task.task().job())
                 .flatMap(JobRecord::spec)
                 .ifPresent((Submission spec) -> byPhase.merge(
                         spec.jobClass() + " " + task.phase().wireName(),
--- a/src/main/java/org/dunespindle/controller/MachineParts.java
+++ b/src/main/java/org/dunespindle/controller/MachineParts.java
@@ -35,7 +35,7 @@
             Runnable requestRound) {
         ControllerContext context = shared.context;
         MachineRecordWriter machineWriter = shared.machineWriter;
-        crashLoopDetector = new CrashLoopDetector(shared.replica::job);
+        crashLoopDetector = new CrashLoopDetector(shared.replica::activeJob);
         cloud = new CloudClient(httpClient, shared.settings, shared.timeSource);
         catalog = new MachineCatalog(cloud, shared.timeSource, requestRound);
         terminator = new MachineTerminator(context, machineWriter, cloud);
--- a/src/main/java/org/dunespindle/federation/Federation.java
+++ b/src/main/java/org/dunespindle/federation/Federation.java
@@ -261,7 +261,7 @@
         var jobs = new ArrayList<JobRecord>();
         shortfalls.forEach((id, shortfall) -> {
             if (now().minus(shortfall.since).compareTo(delay) >= 0) {
-                replica.job(id).filter(SpillPolicy::isDelegable).ifPresent(jobs::add);
+                replica.activeJob(id).filter(SpillPolicy::isDelegable).ifPresent(jobs::add);
             }
         });
         return jobs;
--- a/src/main/java/org/dunespindle/federation/InboundDelegationService.java
+++ b/src/main/java/org/dunespindle/federation/InboundDelegationService.java
@@ -40,20 +40,6 @@
     private final Function<Submission, Optional<Rejection.Reason>> admission;
     private final java.util.function.Supplier<Optional<List<CapacityHint>>> capacityHints;
 
-    /** A requested change, and the reply to send once it is stored. */
-    private record Change(JobRecord record, CellReply reply) {}
-
-    /** The decision on a request: either an immediate reply, or a change that has to be stored first. */
-    private record RequestDecision(Optional<Change> change, Optional<CellReply> reply) {
-        static RequestDecision answer(CellReply reply) {
-            return new RequestDecision(Optional.empty(), Optional.of(reply));
-        }
-
-        static RequestDecision store(JobRecord job, CellReply reply) {
-            return new RequestDecision(Optional.of(new Change(job, reply)), Optional.empty());
-        }
-    }
-
     /**
      * Creates the service.
      *
@@ -101,12 +87,32 @@
         } else if (request instanceof CellRequest.Progress progress) {
             reply.accept(new CellReply.Reports(reports(progress)));
         } else if (request instanceof CellRequest.Offer offer) {
-            apply(request, offer.transfer(), offer(offer), retryDeadline, reply);
+            decide(request, offer.transfer(), existing -> offer(offer, existing), retryDeadline, reply);
         } else if (request instanceof CellRequest.Recall recall) {
-            apply(request, recall.transfer(), recall(recall), retryDeadline, reply);
+            decide(request, recall.transfer(), existing -> recall(recall, existing), retryDeadline, reply);
         } else if (request instanceof CellRequest.Cancel cancel) {
-            apply(request, cancel.transfer(), cancel(cancel), retryDeadline, reply);
+            decide(request, cancel.transfer(), existing -> cancel(cancel, existing), retryDeadline, reply);
+        }
+    }
+
+    /** Decides on a request about a transfer once it is known which record is stored under the job's key. */
+    private void decide(
+            CellRequest request,
+            Transfer transfer,
+            Function<Optional<JobRecord>, InboundDecision> decision,
+            Duration retryDeadline,
+            Consumer<CellReply> reply) {
+        if (replica.isUnreadable(Keys.job(transfer.job()))) {
+            apply(request, transfer, decision.apply(Optional.empty()), retryDeadline, reply);
+            return;
         }
+        replica.findJobAfterRefresh(transfer.job(), result -> {
+            if (result.isConclusive()) {
+                apply(request, transfer, decision.apply(result.job()), retryDeadline, reply);
+            } else {
+                reply.accept(CellReply.NotServed.of(CellReply.Reason.STATE_UNAVAILABLE));
+            }
+        });
     }
 
     /** Why a request is not served because of its sender or its addressee; empty if it is served. */
@@ -189,7 +195,7 @@
 
     /** The stored record of exactly this transfer. */
     private Optional<JobRecord> inboundJob(CellId from, Transfer transfer) {
-        return replica.job(transfer.job())
+        return replica.inboundJob(transfer.job())
                 .filter(job -> job.inboundDelegation()
                         .filter(delegation ->
                                 delegation.origin().equals(from.name()) && delegation.transfer() == transfer.number())
@@ -198,7 +204,7 @@
 
     /** Whether the origin has ended a transfer or made a later one of the same job. */
     private boolean isClosed(CellId from, Transfer transfer) {
-        boolean superseded = replica.job(transfer.job())
+        boolean superseded = replica.inboundJob(transfer.job())
                 .flatMap(JobRecord::inboundDelegation)
                 .filter(delegation ->
                         delegation.origin().equals(from.name()) && delegation.transfer() > transfer.number())
@@ -208,7 +214,7 @@
                         < knownCells.cell(from.name()).orElseThrow().lowestOpenTransfer();
     }
 
-    private RequestDecision offer(CellRequest.Offer offer) {
+    private InboundDecision offer(CellRequest.Offer offer, Optional<JobRecord> stored) {
         Transfer transfer = offer.transfer();
         Optional<JobRecord> existing = inboundJob(offer.from(), transfer);
         if (existing.isPresent()) {
@@ -218,90 +224,89 @@
             return answer(InboundJobStatus.of(transfer, InboundJobState.CLOSED));
         }
         if (!identityKeeper.isActiveLeader()) {
-            return RequestDecision.answer(new CellReply.NotServed(
+            return InboundDecision.answer(new CellReply.NotServed(
                     CellReply.Reason.NOT_LEADER, context.membership().leader()));
         }
         if (!offer.to().equals(identityKeeper.id().orElseThrow())) {
-            return RequestDecision.answer(
+            return InboundDecision.answer(
                     CellReply.NotServed.of(CellReply.Reason.NOT_READY)); // addressed to an earlier incarnation
         }
-        Optional<RequestDecision> idConflict = idConflict(offer.from(), transfer);
+        Optional<InboundDecision> idConflict = idConflict(offer.from(), transfer, stored);
         if (idConflict.isPresent()) {
             return idConflict.get();
         }
         InboundDelegation delegation = InboundDelegation.of(offer.from().name(), transfer.number());
         Optional<Rejection.Reason> rejectionReason = admission.apply(offer.job());
         if (rejectionReason.isPresent()) {
-            return RequestDecision.store(
+            return InboundDecision.store(
                     JobRecord.tombstone(transfer.job(), now(), delegation, false),
                     new CellReply.Declined(transfer, Rejection.of(rejectionReason.get())));
         }
         JobRecord accepted = JobRecord.acceptedFromOrigin(offer.job(), offer.arrived(), delegation);
-        return RequestDecision.store(
+        return InboundDecision.store(
                 accepted, new CellReply.Reports(List.of(InboundJobStatus.of(transfer, InboundJobState.QUEUED))));
     }
 
     /** The decision if the job's key is in use: permanently by a job of this cell, or temporarily by a job of another cell. */
-    private Optional<RequestDecision> idConflict(CellId from, Transfer transfer) {
-        Optional<JobRecord> existing = replica.job(transfer.job());
+    private Optional<InboundDecision> idConflict(CellId from, Transfer transfer, Optional<JobRecord> existing) {
         if (replica.isUnreadable(Keys.job(transfer.job()))) {
-            return Optional.of(RequestDecision.answer(CellReply.NotServed.of(CellReply.Reason.ID_IN_USE)));
+            return Optional.of(InboundDecision.answer(CellReply.NotServed.of(CellReply.Reason.ID_IN_USE)));
         }
         if (existing.isEmpty()) {
             return Optional.empty();
         }
         if (existing.get().inboundDelegation().isEmpty()) {
             return Optional.of(
-                    RequestDecision.answer(new CellReply.Declined(transfer, Rejection.of(Rejection.Reason.ID_TAKEN))));
+                    InboundDecision.answer(new CellReply.Declined(transfer, Rejection.of(Rejection.Reason.ID_TAKEN))));
         }
         boolean sameOrigin = existing.get().inboundDelegation().get().origin().equals(from.name());
         boolean withdrawn = existing.get().inboundDelegation().get().withdrawn();
         return sameOrigin && withdrawn
                 ? Optional.empty()
-                : Optional.of(RequestDecision.answer(CellReply.NotServed.of(CellReply.Reason.ID_IN_USE)));
+                : Optional.of(InboundDecision.answer(CellReply.NotServed.of(CellReply.Reason.ID_IN_USE)));
     }
 
-    private RequestDecision recall(CellRequest.Recall recall) {
+    private InboundDecision recall(CellRequest.Recall recall, Optional<JobRecord> stored) {
         Transfer transfer = recall.transfer();
         Optional<JobRecord> existing = inboundJob(recall.from(), transfer);
         if (existing.isPresent()) {
             JobRecord job = existing.get();
             return job.isOpen() && job.neverPlaced()
-                    ? RequestDecision.store(job.withdrawn(), reports(transfer, InboundJobState.WITHDRAWN))
+                    ? InboundDecision.store(job.withdrawn(), reports(transfer, InboundJobState.WITHDRAWN))
                     : answer(report(transfer, job));
         }
-        return tombstone(recall.from(), transfer, false);
+        return tombstone(recall.from(), transfer, stored, false);
     }
 
-    private RequestDecision cancel(CellRequest.Cancel cancel) {
+    private InboundDecision cancel(CellRequest.Cancel cancel, Optional<JobRecord> stored) {
         Transfer transfer = cancel.transfer();
         Optional<JobRecord> existing = inboundJob(cancel.from(), transfer);
         if (existing.isPresent()) {
             JobRecord job = existing.get();
             return job.isOpen()
-                    ? RequestDecision.store(job.cancelled(), reports(transfer, InboundJobState.CANCELLED))
+                    ? InboundDecision.store(job.cancelled(), reports(transfer, InboundJobState.CANCELLED))
                     : answer(report(transfer, job));
         }
-        return tombstone(cancel.from(), transfer, true);
+        return tombstone(cancel.from(), transfer, stored, true);
     }
 
     /** Stores that a transfer has ended whose offer has not arrived, so that a later offer is refused. */
-    private RequestDecision tombstone(CellId from, Transfer transfer, boolean cancelled) {
+    private InboundDecision tombstone(CellId from, Transfer transfer, Optional<JobRecord> stored, boolean cancelled) {
         if (isClosed(from, transfer)) {
             return answer(InboundJobStatus.of(transfer, InboundJobState.CLOSED));
         }
         InboundJobState ended = cancelled ? InboundJobState.CANCELLED : InboundJobState.WITHDRAWN;
-        Optional<RequestDecision> idConflict = idConflict(from, transfer);
+        Optional<InboundDecision> idConflict = idConflict(from, transfer, stored);
         if (idConflict.isPresent()) {
             boolean permanent = idConflict
                     .get()
                     .reply()
                     .filter(CellReply.Declined.class::isInstance)
                     .isPresent();
-            return permanent ? RequestDecision.answer(reports(transfer, ended)) : idConflict.get();
+            return permanent ? InboundDecision.answer(reports(transfer, ended)) : idConflict.get();
         }
         InboundDelegation delegation = InboundDelegation.of(from.name(), transfer.number());
-        return RequestDecision.store(
+        return InboundDecision.store(
                 JobRecord.tombstone(transfer.job(), now(), delegation, cancelled), reports(transfer, ended));
     }
 
@@ -309,8 +314,8 @@
         return context.timeSource().wallTime();
     }
 
-    private static RequestDecision answer(InboundJobStatus report) {
-        return RequestDecision.answer(new CellReply.Reports(List.of(report)));
+    private static InboundDecision answer(InboundJobStatus report) {
+        return InboundDecision.answer(new CellReply.Reports(List.of(report)));
     }
 
     private static CellReply reports(Transfer transfer, InboundJobState state) {
@@ -324,11 +329,11 @@
     private void apply(
             CellRequest request,
             Transfer transfer,
-            RequestDecision decision,
+            InboundDecision decision,
             Duration retryDeadline,
             Consumer<CellReply> reply) {
-        if (decision.reply.isPresent()) {
-            reply.accept(decision.reply.get());
+        if (decision.reply().isPresent()) {
+            reply.accept(decision.reply().get());
             return;
         }
         String key = Keys.job(transfer.job());
@@ -336,28 +341,28 @@
             retry(request, retryDeadline, reply);
             return;
         }
-        Change change = decision.change.orElseThrow();
+        InboundDecision.Change change = decision.change().orElseThrow();
         String cellKey = Keys.cell(request.from().name());
         Transaction transaction = context.jobWriter()
-                .write(new Transaction(), change.record)
+                .write(new Transaction(), change.record())
                 .requireRevision(cellKey, replica.modRevision(cellKey))
                 .requireRevision(Keys.FORMAT, replica.modRevision(Keys.FORMAT));
         context.commitQueue().propose(CommitPriority.USERS, transaction, result -> {
             if (result instanceof TransactionResult.Applied) {
                 recordEvent(request, change);
-                reply.accept(change.reply);
+                reply.accept(change.reply());
             } else {
                 retry(request, retryDeadline, reply);
             }
         });
     }
 
-    private void recordEvent(CellRequest request, Change change) {
-        String job = change.record.id();
+    private void recordEvent(CellRequest request, InboundDecision.Change change) {
+        String job = change.record().id();
         String cell = request.from().name();
-        if (change.record.isOpen()) {
+        if (change.record().isOpen()) {
             context.eventRecorder().record(LOG, "inbound job accepted job={} origin={}", job, cell);
-        } else if (change.reply instanceof CellReply.Declined declined) {
+        } else if (change.reply() instanceof CellReply.Declined declined) {
             LOG.debug(
                     "inbound job declined job={} origin={} reason={}",
                     job,
@@ -368,7 +373,7 @@
                     .record(
                             LOG,
                             "inbound job {} job={} origin={}",
-                            change.record.inboundDelegation().orElseThrow().withdrawn()
+                            change.record().inboundDelegation().orElseThrow().withdrawn()
                                     ? "withdrawn by its origin"
                                     : "cancelled by its user",
                             job,
--- a/src/main/java/org/dunespindle/federation/OutboundDelegationService.java
+++ b/src/main/java/org/dunespindle/federation/OutboundDelegationService.java
@@ -264,7 +264,7 @@
                     connection.name(),
                     notServed.reason().description());
         }
-        replica.job(job.id())
+        replica.activeJob(job.id())
                 .filter(present -> present.delegationLink().equals(job.delegationLink()) && present.isOpen())
                 .ifPresent(present -> advance(present, connection, new HashMap<>()));
     }
--- a/src/main/java/org/dunespindle/job/GangLifecycle.java
+++ b/src/main/java/org/dunespindle/job/GangLifecycle.java
@@ -99,7 +99,7 @@
         placeholdersSince.keySet().retainAll(placing);
         replacingSince
                 .keySet()
-                .removeIf(id -> replica.job(id).filter(JobRecord::isOpen).isEmpty());
+                .removeIf(id -> replica.activeJob(id).filter(JobRecord::isOpen).isEmpty());
     }
 
     private void recordReplacement(JobRecord job, Duration now) {
--- a/src/main/java/org/dunespindle/job/TerminationWriter.java
+++ b/src/main/java/org/dunespindle/job/TerminationWriter.java
@@ -99,7 +99,7 @@
         batching.checkQuotas();
         onLostMachines = terminationsOnLostMachines;
         collectPending();
-        pendingByJob.forEach((id, pending) -> replica.job(id)
+        pendingByJob.forEach((id, pending) -> replica.activeJob(id)
                 .filter(job -> !commitQueue.isLocked(Keys.job(id)) && batching.isDue(job, pending))
                 .ifPresent(this::storePending));
     }
--- a/src/main/java/org/dunespindle/machine/CrashLoopDetector.java
+++ b/src/main/java/org/dunespindle/machine/CrashLoopDetector.java
@@ -31,7 +31,7 @@
     /**
      * Creates a detector without observations.
      *
-     * @param jobRecords looks up the stored record of a job by its id
+     * @param jobRecords looks up the record of an active job by its id
      */
     public CrashLoopDetector(Function<String, Optional<JobRecord>> jobRecords) {
         this.jobRecords = jobRecords;
--- a/src/main/java/org/dunespindle/peer/PeerHeartbeats.java
+++ b/src/main/java/org/dunespindle/peer/PeerHeartbeats.java
@@ -31,8 +31,6 @@
     private static final String CONTENT_TYPE = "application/json";
     private static final int OK = 200;
     private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(1500);
-    /** A reply omits a longer list of cancelled jobs; the sender then uses the staleness of its replica. */
-    private static final int MAX_CANCELLED_JOBS = 2000;
 
     private final Settings settings;
     private final HttpClient httpClient;
@@ -231,13 +229,13 @@
 
     /**
      * The jobs cancelled after a revision: only from a completely loaded replica, and either all of them or none, because the sender
-     * relies on the list containing every cancellation that this controller has confirmed before.
+     * relies on the list containing every cancellation that this controller has confirmed before. Without a list it uses the staleness of its
+     * replica.
      */
     private Optional<List<String>> cancelledJobsSince(OptionalLong revision) {
         if (!replica.isLoaded() || revision.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(replica.cancelledSince(revision.getAsLong()))
-                .filter(jobs -> jobs.size() <= MAX_CANCELLED_JOBS);
+        return replica.cancelledSince(revision.getAsLong());
     }
 }
--- a/src/main/java/org/dunespindle/protocol/StateMessages.java
+++ b/src/main/java/org/dunespindle/protocol/StateMessages.java
@@ -39,6 +39,14 @@
      */
     public record Entries(List<Entry> entries, long revision, boolean more) {}
 
+    /**
+     * The answer to a read of one key.
+     *
+     * @param value the key's value; empty if the key does not exist
+     * @param revision the revision of the key's last change, or of the store if the key does not exist
+     */
+    public record KeyState(Optional<JsonNode> value, long revision) {}
+
     /** The body of a transaction. Its preconditions are the revisions that keys must have. */
     public static ObjectNode transaction(Map<String, Long> preconditions, Map<String, Change> changes) {
         ObjectNode body = MessagePackCodec.map();
@@ -81,6 +89,26 @@
         return id.isIntegralNumber() ? OptionalLong.of(id.longValue()) : OptionalLong.empty();
     }
 
+    /** Reads the answer for a key that exists. */
+    public static KeyState presentKey(byte[] body) throws MalformedMessageException {
+        JsonNode node = MessagePackCodec.read(body);
+        return new KeyState(
+                Optional.of(required(node, "v")), required(node, "stamp").longValue());
+    }
+
+    /** Reads the answer for a key that does not exist. */
+    public static KeyState absentKey(byte[] body) throws MalformedMessageException {
+        return new KeyState(
+                Optional.empty(), required(MessagePackCodec.read(body), "epoch").longValue());
+    }
+
+    private static JsonNode required(JsonNode node, String field) throws MalformedMessageException {
+        if (!node.has(field)) {
+            throw new MalformedMessageException("the state service's answer lacks " + field);
+        }
+        return node.get(field);
+    }
+
     /** Reads a page of keys. */
     public static Entries page(JsonNode body) {
         var entries = new ArrayList<Entry>();
--- a/src/main/java/org/dunespindle/storage/AllocationIndex.java
+++ b/src/main/java/org/dunespindle/storage/AllocationIndex.java
@@ -32,10 +32,6 @@
         return tasksByMachine.getOrDefault(machineId, List.of());
     }
 
-    void clear() {
-        tasksByMachine.clear();
-    }
-
     /** Replaces a job's allocations and reports the machines whose desired tasks have changed. */
     void update(String jobId, Optional<JobRecord> before, Optional<JobRecord> after) {
         Map<String, List<Allocation>> oldByMachine = byMachine(before);
--- a/src/main/java/org/dunespindle/storage/ChunkedJobRecords.java
+++ b/src/main/java/org/dunespindle/storage/ChunkedJobRecords.java
@@ -83,10 +83,4 @@
         }
         return ChunkedJobRecordCodec.parse(id, main, chunks);
     }
-
-    void clear() {
-        mains.clear();
-        chunksByJob.clear();
-        changed.clear();
-    }
 }
--- a/src/main/java/org/dunespindle/storage/JobIndex.java
+++ b/src/main/java/org/dunespindle/storage/JobIndex.java
@@ -1,24 +1,28 @@
 package org.dunespindle.storage;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 
-/** The replica's job records, with indexes of active, inbound and cancelled jobs and of allocations. */
+/**
+ * The replica's job records, with indexes of active, inbound and cancelled jobs and of allocations. Of the ended jobs of this cell's own
+ * users only the latest are retained; the others remain in the state store, and {@link #mayHaveEnded} tells whether a job can be one of
+ * them.
+ */
 final class JobIndex {
-    private final Map<String, JobRecord> jobs = new HashMap<>();
+    /** More than users poll for in the seconds after the end. */
+    private static final int MAX_RECENTLY_ENDED_JOBS = 2000;
+
     private final Map<String, JobRecord> activeJobs = new LinkedHashMap<>();
     private final Map<String, JobRecord> inboundJobs = new LinkedHashMap<>();
-    /** Cancelled jobs by the revision at which this replica first applied the cancellation, which was committed then or earlier. */
-    private final TreeMap<Long, List<String>> cancelledByRevision = new TreeMap<>();
-
+    private final CancellationLog cancellations = new CancellationLog();
     private final AllocationIndex allocations;
+    private final EndedJobCache recentlyEnded;
+    private final KnownJobIds knownIds;
+    private long endedCount;
 
     /**
      * Creates an empty index.
@@ -26,17 +30,38 @@
      * @param onMachineChanged called with each machine whose desired tasks have changed
      */
     JobIndex(Consumer<String> onMachineChanged) {
+        this(onMachineChanged, new EndedJobCache(MAX_RECENTLY_ENDED_JOBS), new KnownJobIds());
+    }
+
+    private JobIndex(Consumer<String> onMachineChanged, EndedJobCache recentlyEnded, KnownJobIds knownIds) {
         this.allocations = new AllocationIndex(onMachineChanged);
+        this.recentlyEnded = recentlyEnded;
+        this.knownIds = knownIds;
     }
 
-    /** A job's record; empty if the job is unknown. */
-    Optional<JobRecord> job(String id) {
-        return Optional.ofNullable(jobs.get(id));
+    /** An empty index that shares what stays true of ended jobs when the stored state is read again. */
+    JobIndex successor(Consumer<String> machineChangeListener) {
+        return new JobIndex(machineChangeListener, recentlyEnded, knownIds);
     }
 
-    /** All jobs by id. */
-    Map<String, JobRecord> all() {
-        return jobs;
+    /** The record of a job that is open or still has allocations. */
+    Optional<JobRecord> active(String id) {
+        return Optional.ofNullable(activeJobs.get(id));
+    }
+
+    /** The record of a job whose origin is another cell. */
+    Optional<JobRecord> inbound(String id) {
+        return Optional.ofNullable(inboundJobs.get(id));
+    }
+
+    /** A job's record if it is in memory; an ended job may be in the state store only. */
+    Optional<JobRecord> retained(String id) {
+        return active(id).or(() -> inbound(id)).or(() -> recentlyEnded.get(id));
+    }
+
+    /** Whether a job that is not retained may have been stored before; false is certain. */
+    boolean mayHaveEnded(String id) {
+        return knownIds.mightContain(id);
     }
 
     /** Jobs that are open or still have allocations. */
@@ -49,11 +74,19 @@
         return inboundJobs.values();
     }
 
-    /** Jobs whose cancellation was first applied after a revision. */
-    List<String> cancelledSince(long revision) {
-        var ids = new ArrayList<String>();
-        cancelledByRevision.tailMap(revision, false).values().forEach(ids::addAll);
-        return ids;
+    /** The number of stored jobs that have ended and have no allocations. */
+    long endedCount() {
+        return endedCount;
+    }
+
+    /** The number of job records in memory. */
+    int retainedCount() {
+        return activeJobs.size() + inboundJobs.size() + recentlyEnded.size();
+    }
+
+    /** The jobs whose cancellation was first applied after a revision. */
+    CancellationLog cancellations() {
+        return cancellations;
     }
 
     /** Machines with at least one allocation. */
@@ -66,31 +99,45 @@
         return allocations.on(machineId);
     }
 
+    /** Records that a job was stored, whether or not its record can be read. */
+    void addKnown(String id) {
+        knownIds.add(id);
+    }
+
     /** Replaces a job's record; an empty one removes it. */
     void put(String id, Optional<JobRecord> after, long revision) {
-        Optional<JobRecord> before =
-                Optional.ofNullable(after.isPresent() ? jobs.put(id, after.get()) : jobs.remove(id));
+        Optional<JobRecord> before = active(id).or(() -> inbound(id));
         if (isCancelled(after) && !isCancelled(before)) {
-            cancelledByRevision
-                    .computeIfAbsent(revision, ids -> new ArrayList<>(1))
-                    .add(id);
+            cancellations.add(revision, id);
         }
+        endedCount += (hasEnded(after) ? 1 : 0) - (hasEnded(before) ? 1 : 0);
         after.filter(job -> job.spec().isPresent())
                 .ifPresentOrElse(job -> activeJobs.put(id, job), () -> activeJobs.remove(id));
         after.filter(job -> job.inboundDelegation().isPresent())
                 .ifPresentOrElse(job -> inboundJobs.put(id, job), () -> inboundJobs.remove(id));
+        updateRecentlyEnded(id, before, after);
         allocations.update(id, before, after);
     }
 
-    private static boolean isCancelled(Optional<JobRecord> job) {
-        return job.isPresent() && job.get().outcome() == JobRecord.Outcome.CANCELLED;
+    private void updateRecentlyEnded(String id, Optional<JobRecord> before, Optional<JobRecord> after) {
+        boolean isOwnEnded = after.filter(JobIndex::isInStoreOnly).isPresent();
+        if (!isOwnEnded) {
+            recentlyEnded.remove(id);
+        } else if (before.isPresent()) {
+            recentlyEnded.put(after.get());
+        }
     }
 
-    void clear() {
-        jobs.clear();
-        activeJobs.clear();
-        inboundJobs.clear();
-        allocations.clear();
-        cancelledByRevision.clear();
+    /** Whether a record needs no place in memory: an ended job that is of no interest to another cell. */
+    static boolean isInStoreOnly(JobRecord job) {
+        return job.spec().isEmpty() && job.inboundDelegation().isEmpty();
+    }
+
+    private static boolean hasEnded(Optional<JobRecord> job) {
+        return job.isPresent() && job.get().spec().isEmpty();
+    }
+
+    private static boolean isCancelled(Optional<JobRecord> job) {
+        return job.isPresent() && job.get().outcome() == JobRecord.Outcome.CANCELLED;
     }
 }
--- a/src/main/java/org/dunespindle/storage/MachineIndex.java
+++ b/src/main/java/org/dunespindle/storage/MachineIndex.java
@@ -88,11 +88,4 @@
         records.forEach((id, record) -> page.set(id, record.toRow()));
         return transaction.write(pageKey, page);
     }
-
-    /** Removes all machines and marks them as changed. */
-    void clear() {
-        markAllChanged();
-        machines.clear();
-        pages.clear();
-    }
 }
--- a/src/main/java/org/dunespindle/storage/ReplicaIndex.java
+++ b/src/main/java/org/dunespindle/storage/ReplicaIndex.java
@@ -18,17 +18,29 @@
     private static final Logger LOG = LoggerFactory.getLogger(ReplicaIndex.class);
 
     private final MachineIndex machines = new MachineIndex();
-    private final JobIndex jobs = new JobIndex(machines::markChanged);
+    private final JobIndex jobs;
     private final ChunkedJobRecords chunkedJobs = new ChunkedJobRecords();
     private final Map<String, JsonNode> members = new TreeMap<>();
     private final Map<String, JsonNode> otherValues = new HashMap<>();
-    /** The revision of each key's last change; negated if that change removed the key. */
-    private final Map<String, Long> modRevisions = new HashMap<>();
-
+    private final KeyRevisions revisions = new KeyRevisions();
     private final Set<String> unreadableKeys = new HashSet<>();
     private long version;
     private long memberVersion;
 
+    /** Creates an empty index. */
+    ReplicaIndex() {
+        jobs = new JobIndex(machines::markChanged);
+    }
+
+    private ReplicaIndex(ReplicaIndex previous) {
+        jobs = previous.jobs.successor(machines::markChanged);
+    }
+
+    /** An empty index into which the stored state is read again while this one stays in use. */
+    ReplicaIndex successor() {
+        return new ReplicaIndex(this);
+    }
+
     JobIndex jobs() {
         return jobs;
     }
@@ -52,9 +64,14 @@
         return chunkedJobs.chunks(jobId);
     }
 
-    /** The revision of a key's last change; 0 while the key does not exist. */
+    /** The revision of a key's last change; 0 while the key does not exist, and for an ended job that is in the store only. */
     long modRevision(String key) {
-        return Math.max(0, modRevisions.getOrDefault(key, 0L));
+        return revisions.of(key);
+    }
+
+    /** The number of keys of which a revision is held. */
+    int revisionCount() {
+        return revisions.size();
     }
 
     /** Whether a key's value could not be parsed. */
@@ -74,7 +91,7 @@
 
     /** Applies changes from the log. */
     void apply(List<StateMessages.Entry> entries) {
-        entries.forEach(this::put);
+        loadChanges(entries);
         assembleChunkedJobs();
     }
 
@@ -84,45 +101,59 @@
         assembleChunkedJobs();
     }
 
-    /**
-     * Replaces the contents.
-     *
-     * @param entries the store's entries, followed by the changes made while they were read
-     * @param commits transactions of this process that the entries may lack. Requests were already answered based on them, so
-     *     the replica must not return to an older state, even briefly.
-     */
-    void replaceAll(List<StateMessages.Entry> entries, List<CommittedTransaction> commits) {
-        clear();
-        entries.forEach(this::put);
-        commits.forEach(this::putChanges);
+    /** Adds a page of rows to an index that is being loaded. Rows of ended jobs leave nothing behind but their ids in a filter. */
+    void load(List<StateMessages.Entry> page) {
+        for (StateMessages.Entry row : page) {
+            if (!revisions.isOverwritten(row.key(), row.revision())) {
+                put(row.key(), row.value(), row.revision());
+            }
+        }
+    }
+
+    /** Applies changes from the log to an index that is being loaded. */
+    void loadChanges(List<StateMessages.Entry> entries) {
+        entries.forEach(this::putNewer);
+    }
+
+    /** Applies a transaction that this process committed to an index that is being loaded. */
+    void loadCommit(CommittedTransaction commit) {
+        putChanges(commit);
+    }
+
+    /** Completes the load and takes the place of another index: whatever was in it counts as changed. */
+    void replace(ReplicaIndex previous) {
         assembleChunkedJobs();
+        version += previous.version + 1;
+        memberVersion += previous.memberVersion + 1;
+        previous.machines.drainChanged().forEach(machines::markChanged);
+        previous.machines.all().keySet().forEach(machines::markChanged);
+        previous.jobs.machinesWithAllocations().forEach(machines::markChanged);
     }
 
-    private void clear() {
-        jobs.clear();
-        machines.clear();
-        unreadableKeys.clear();
-        chunkedJobs.clear();
-        members.clear();
-        memberVersion++;
-        otherValues.clear();
-        modRevisions.clear();
+    /** Records that all changes up to a revision are contained. */
+    void advance(long revision) {
+        revisions.advance(revision);
     }
 
     private void putChanges(CommittedTransaction commit) {
-        commit.transaction().changes().forEach((key, change) -> put(key, change.value(), commit.revision()));
+        commit.transaction()
+                .changes()
+                .forEach((key, change) -> putNewer(new StateMessages.Entry(key, change.value(), commit.revision())));
     }
 
-    private void put(StateMessages.Entry entry) {
-        put(entry.key(), entry.value(), entry.revision());
+    private void putNewer(StateMessages.Entry change) {
+        // The log repeats the transactions of this process, which are applied as soon as they are answered.
+        if (!revisions.isApplied(change.key(), change.revision())) {
+            put(change.key(), change.value(), change.revision());
+        }
     }
 
     private void put(String key, Optional<JsonNode> value, long revision) {
-        Long appliedRevision = modRevisions.get(key);
-        if (appliedRevision != null && Math.abs(appliedRevision) >= revision) {
-            return; // already applied as a transaction of this process
+        if (value.isPresent()) {
+            revisions.retain(key, revision);
+        } else {
+            revisions.release(key, revision);
         }
-        modRevisions.put(key, value.isPresent() ? revision : -revision);
         version++;
         try {
             if (key.startsWith(Keys.JOB)) {
@@ -142,6 +173,7 @@
     }
 
     private void putJob(String id, Optional<JsonNode> value, long revision) throws MalformedMessageException {
+        jobs.addKnown(id); // before parsing: an unreadable record, too, shows that the job was accepted
         chunkedJobs.putMain(id, value);
         if (value.filter(ChunkedJobRecordCodec::isChunked).isPresent()) {
             return; // assembled once all changes of the same revision are applied
@@ -154,6 +186,9 @@
     private void putJobRecord(String id, Optional<JobRecord> job, long revision) {
         unreadableKeys.remove(Keys.job(id));
         jobs.put(id, job, revision);
+        if (job.filter(JobIndex::isInStoreOnly).isPresent()) {
+            revisions.release(Keys.job(id), revision);
+        }
     }
 
     private void putMember(String node, Optional<JsonNode> value) {
@@ -178,6 +213,6 @@
     private void markUnreadable(String key, Exception cause) {
         LOG.error("stored record is unreadable key={} cause={}", key, cause.toString());
         unreadableKeys.add(key);
-        modRevisions.remove(key);
+        revisions.forget(key);
     }
 }
--- a/src/main/java/org/dunespindle/storage/ReplicaUpdater.java
+++ b/src/main/java/org/dunespindle/storage/ReplicaUpdater.java
@@ -21,11 +21,11 @@
 
     private final TimeSource timeSource;
     private final Duration interval;
-    private final ReplicaIndex index;
     private final Runnable onChange;
     private final ChangeLogReader changeLog;
     private final SnapshotLoader snapshotLoader;
 
+    private ReplicaIndex index = new ReplicaIndex();
     private long appliedRevision = -1;
     /** When the last successful read started. */
     private Duration asOf = Duration.ZERO;
@@ -41,18 +41,12 @@
     /** The callbacks of a refresh, to be served by a read that starts after it was requested. */
     private record PendingRefresh(Runnable onSuccess, Runnable onFailure) {}
 
-    ReplicaUpdater(
-            StateStoreClient stateStore,
-            TimeSource timeSource,
-            Duration interval,
-            ReplicaIndex index,
-            Runnable onChange) {
+    ReplicaUpdater(StateStoreClient stateStore, TimeSource timeSource, Duration interval, Runnable onChange) {
         this.timeSource = timeSource;
         this.interval = interval;
-        this.index = index;
         this.onChange = onChange;
         this.changeLog = new ChangeLogReader(stateStore);
-        this.snapshotLoader = new SnapshotLoader(stateStore, changeLog, timeSource);
+        this.snapshotLoader = new SnapshotLoader(stateStore, changeLog, timeSource, () -> index.successor());
     }
 
     /** Starts the first read; later reads follow at the interval. */
@@ -60,6 +54,11 @@
         read();
     }
 
+    /** The current contents; they are replaced when the stored state has been read again. */
+    ReplicaIndex index() {
+        return index;
+    }
+
     /** Whether a snapshot has been loaded. */
     boolean loaded() {
         return appliedRevision >= 0;
@@ -70,6 +69,11 @@
         return appliedRevision;
     }
 
+    /** The start of the last successful read: every change committed before is applied. */
+    Duration asOf() {
+        return asOf;
+    }
+
     /** The time since the start of the last successful read. */
     Duration staleness() {
         return loaded() ? timeSource.now().minus(asOf) : STALENESS_BEFORE_FIRST_LOAD;
@@ -117,6 +121,7 @@
     private void applyLog(StateMessages.Entries log, Duration startedAt) {
         index.apply(log.entries());
         appliedRevision = Math.max(appliedRevision, log.revision());
+        index.advance(appliedRevision);
         asOf = startedAt;
         unansweredLogReads = 0;
         snapshotLoader.discard();
@@ -156,7 +161,9 @@
     private void install(SnapshotLoader.Loaded snapshot) {
         logLost = false;
         unansweredLogReads = 0;
-        index.replaceAll(snapshot.entries(), snapshot.commits());
+        ReplicaIndex loaded = snapshot.index();
+        loaded.replace(index);
+        index = loaded;
         appliedRevision = snapshot.revision();
         asOf = snapshot.asOf();
         onChange.run();
--- a/src/main/java/org/dunespindle/storage/SnapshotLoader.java
+++ b/src/main/java/org/dunespindle/storage/SnapshotLoader.java
@@ -5,28 +5,42 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.dunespindle.protocol.StateMessages;
 import org.dunespindle.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * Reads the complete state store page by page. A failure keeps the pages read so far; the next attempt continues with the page
- * that failed.
+ * Reads the complete state store page by page into a new index, which retains of each page only what a controller needs in memory. A
+ * failure keeps the pages read so far; the next attempt continues with the page that failed.
  */
 final class SnapshotLoader {
-    private static final int MAX_KEYS_PER_PAGE = 500;
+    private static final Logger LOG = LoggerFactory.getLogger(SnapshotLoader.class);
+    /** The most that the state service returns at once. */
+    private static final int MAX_KEYS_PER_PAGE = 1000;
 
     private final StateStoreClient stateStore;
     private final ChangeLogReader changeLog;
     private final TimeSource timeSource;
+    private final Supplier<ReplicaIndex> newIndex;
     /** The pages read so far; empty while no load is in progress. */
     private Optional<PartialSnapshot> partial = Optional.empty();
-    /** Transactions of this process since the load started, which pages read before them lack. */
-    private final List<CommittedTransaction> commits = new ArrayList<>();
 
-    SnapshotLoader(StateStoreClient stateStore, ChangeLogReader changeLog, TimeSource timeSource) {
+    /**
+     * Creates a loader.
+     *
+     * @param newIndex creates the empty index of a load
+     */
+    SnapshotLoader(
+            StateStoreClient stateStore,
+            ChangeLogReader changeLog,
+            TimeSource timeSource,
+            Supplier<ReplicaIndex> newIndex) {
         this.stateStore = stateStore;
         this.changeLog = changeLog;
         this.timeSource = timeSource;
+        this.newIndex = newIndex;
     }
 
     /** The outcome of one attempt. */
@@ -35,19 +49,12 @@
     /**
      * A complete snapshot.
      *
-     * @param entries entries of all pages, followed by the changes from the log if it was read too
-     * @param commits transactions of this process that the entries may lack
-     * @param revision the revision up to which the entries are complete
+     * @param index all rows, the transactions of this process since, and the changes from the log if it was read too
+     * @param revision the revision up to which the index is complete
      * @param asOf when the read that reached this revision started
      * @param caughtUp whether the log was read too; otherwise changes made while the pages were read are still missing
      */
-    record Loaded(
-            List<StateMessages.Entry> entries,
-            List<CommittedTransaction> commits,
-            long revision,
-            Duration asOf,
-            boolean caughtUp)
-            implements Result {}
+    record Loaded(ReplicaIndex index, long revision, Duration asOf, boolean caughtUp) implements Result {}
 
     /**
      * A failed attempt.
@@ -57,49 +64,71 @@
      */
     record Failed(boolean storeUnavailable) implements Result {}
 
-    /** The entries read so far. */
+    /** The rows read so far. */
     private static final class PartialSnapshot {
-        private final List<StateMessages.Entry> entries = new ArrayList<>();
+        private final ReplicaIndex index;
         private final Duration startedAt;
+        /** Transactions of this process since the load started, until the revision of the first page is known. */
+        private final List<CommittedTransaction> earlyCommits = new ArrayList<>();
+
         private String lastKey = "";
         private boolean complete;
+        private boolean containsChunks;
         /** The revision of the first page. Pages are read at different revisions, so the log is followed from the first one. */
         private long revision = -1;
 
-        PartialSnapshot(Duration startedAt) {
+        private long keyCount;
+
+        PartialSnapshot(ReplicaIndex index, Duration startedAt) {
+            this.index = index;
             this.startedAt = startedAt;
         }
 
         void add(StateMessages.Entries page) {
-            entries.addAll(page.entries());
-            revision = revision < 0 ? page.revision() : revision;
+            if (revision < 0) {
+                begin(page.revision());
+            }
+            index.load(page.entries());
+            keyCount += page.entries().size();
+            containsChunks |=
+                    page.entries().stream().anyMatch(entry -> entry.key().startsWith(Keys.CHUNK));
             complete = !page.more() || page.entries().isEmpty();
             if (!complete) {
                 lastKey = page.entries().get(page.entries().size() - 1).key();
             }
         }
 
-        void add(ChangeLogReader.Changes changes) {
-            entries.addAll(changes.log().entries());
-            revision = Math.max(revision, changes.log().revision());
+        /** All pages are read at the first one's revision or later, so they contain every transaction committed before it. */
+        private void begin(long firstRevision) {
+            revision = firstRevision;
+            index.advance(firstRevision);
+            earlyCommits.forEach(index::loadCommit);
+            earlyCommits.clear();
         }
 
-        boolean containsChunks() {
-            return entries.stream().anyMatch(entry -> entry.key().startsWith(Keys.CHUNK));
+        void add(CommittedTransaction commit) {
+            if (revision < 0) {
+                earlyCommits.add(commit);
+            } else {
+                index.loadCommit(commit);
+            }
+        }
+
+        void add(ChangeLogReader.Changes changes) {
+            index.loadChanges(changes.log().entries());
+            revision = Math.max(revision, changes.log().revision());
+            index.advance(revision);
         }
     }
 
     /** Records a transaction of this process if a load is in progress. */
     void addCommit(CommittedTransaction commit) {
-        if (partial.isPresent()) {
-            commits.add(commit);
-        }
+        partial.ifPresent(snapshot -> snapshot.add(commit));
     }
 
     /** Discards the pages read so far, after the log was read successfully or the load is complete. */
     void discard() {
         partial = Optional.empty();
-        commits.clear();
     }
 
     /**
@@ -108,7 +137,7 @@
      * @param now the start of this attempt
      */
     void load(Duration now, Consumer<Result> onResult) {
-        PartialSnapshot snapshot = partial.orElseGet(() -> new PartialSnapshot(now));
+        PartialSnapshot snapshot = partial.orElseGet(() -> new PartialSnapshot(newIndex.get(), now));
         partial = Optional.of(snapshot);
         if (snapshot.complete) {
             catchUp(snapshot, onResult);
@@ -126,7 +155,7 @@
             snapshot.add(page);
             if (!snapshot.complete) {
                 loadNextPage(snapshot, onResult);
-            } else if (snapshot.containsChunks()) {
+            } else if (snapshot.containsChunks) {
                 catchUp(snapshot, onResult);
             } else {
                 onResult.accept(finish(snapshot, snapshot.startedAt, false));
@@ -155,8 +184,14 @@
     }
 
     private Loaded finish(PartialSnapshot snapshot, Duration asOf, boolean caughtUp) {
-        var loaded = new Loaded(snapshot.entries, List.copyOf(commits), snapshot.revision, asOf, caughtUp);
         discard();
-        return loaded;
+        LOG.info(
+                "stored state read revision={} keys={} endedJobs={} retainedJobs={} millis={}",
+                snapshot.revision,
+                snapshot.keyCount,
+                snapshot.index.jobs().endedCount(),
+                snapshot.index.jobs().retainedCount(),
+                timeSource.now().minus(snapshot.startedAt).toMillis());
+        return new Loaded(snapshot.index, snapshot.revision, asOf, caughtUp);
     }
 }
--- a/src/main/java/org/dunespindle/storage/StateStoreClient.java
+++ b/src/main/java/org/dunespindle/storage/StateStoreClient.java
@@ -26,11 +26,18 @@
     /** The part of the rate limit that all controllers together use; the rest allows for differences between their clocks. */
     private static final double USABLE_RATE_FRACTION = 0.9;
 
+    /** The part of this controller's requests that reads of single keys may take; leases, commits and the change log use the rest. */
+    private static final double KEY_READ_FRACTION = 0.25;
+    /** Reads that would wait longer are refused, since users wait two seconds for an answer. */
+    private static final double MAX_KEY_READ_WAIT_SECONDS = 1.5;
+
+    private static final int MIN_PENDING_KEY_READS = 4;
     private static final int MIN_CONSECUTIVE_FAILURES_FOR_OUTAGE = 2;
     private static final byte[] NO_BODY = new byte[0];
 
     private final RateLimitedHttpClient httpClient;
     private final RateLimiter writeLimiter;
+    private final RateLimiter keyReadLimiter;
     private int consecutiveFailures;
 
     /** Creates a client for the state store address in the settings. */
@@ -46,6 +53,7 @@
                 new RateLimiter(timeSource, requestShare),
                 REQUEST_TIMEOUT);
         this.writeLimiter = new RateLimiter(timeSource, writeShare);
+        this.keyReadLimiter = new RateLimiter(timeSource, KEY_READ_FRACTION * requestShare);
     }
 
     /** The rate limiter of this controller's writes, which {@link #commit} charges per change. */
@@ -75,6 +83,37 @@
         return requireOk(call(false, "GET", target, NO_BODY)).thenApply(StateMessages::page);
     }
 
+    /** The number of reads of single keys that may be pending; more would not be answered in time. */
+    int maxPendingKeyReads() {
+        return Math.max(MIN_PENDING_KEY_READS, (int) (MAX_KEY_READ_WAIT_SECONDS * keyReadLimiter.perSecond()));
+    }
+
+    /**
+     * Reads one key. The future fails unless the store answers that it has the key or that it has not. Such reads are paced apart from
+     * the other requests, so that any number of them leaves most of the request rate to these.
+     */
+    CompletableFuture<StateMessages.KeyState> read(String key) {
+        var permitted = new CompletableFuture<Void>();
+        keyReadLimiter.submit(false, 1, () -> permitted.complete(null));
+        return permitted
+                .thenCompose(nothing -> call(false, "GET", "/keys/" + key, NO_BODY))
+                .thenCompose(StateStoreClient::keyState);
+    }
+
+    private static CompletableFuture<StateMessages.KeyState> keyState(HttpClientResponse response) {
+        if (response.status() != HttpStatus.OK && response.status() != HttpStatus.NOT_FOUND) {
+            return CompletableFuture.failedFuture(unexpectedStatus(response));
+        }
+        try {
+            return CompletableFuture.completedFuture(
+                    response.status() == HttpStatus.OK
+                            ? StateMessages.presentKey(response.body())
+                            : StateMessages.absentKey(response.body()));
+        } catch (MalformedMessageException e) {
+            return CompletableFuture.failedFuture(new HttpCallException(e.getMessage(), true));
+        }
+    }
+
     /** Reads all changes after a revision without waiting for new ones; the status is 410 if the revision has been compacted. */
     public CompletableFuture<HttpClientResponse> changes(String prefix, long revision) {
         return call(false, "GET", "/watch?under=" + prefix + "&since=" + revision + "&holdMs=0", NO_BODY);
--- a/src/main/java/org/dunespindle/worker/CancellationTracker.java
+++ b/src/main/java/org/dunespindle/worker/CancellationTracker.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.dunespindle.protocol.Settings;
 import org.dunespindle.storage.JobRecord;
 import org.dunespindle.storage.PlacedTask;
@@ -30,8 +28,8 @@
     private final List<String> otherControllers;
     /** The time of the last request that each controller has answered. */
     private final Map<String, Duration> answeredRequestAt = new HashMap<>();
-    /** Jobs that other controllers reported as cancelled; they may still be open in the replica. */
-    private final Set<String> cancelledElsewhere = new HashSet<>();
+    /** Jobs that other controllers reported as cancelled, with the time of the report; they may still be open in the replica. */
+    private final Map<String, Duration> cancelledElsewhere = new HashMap<>();
 
     /** Creates a tracker without answers from other controllers: it knows the cancellations in the replica. */
     public CancellationTracker(Settings settings, StateReplica replica, TimeSource timeSource) {
@@ -52,7 +50,7 @@
         var newlyCancelled = new ArrayList<String>();
         for (String jobId : cancelledJobs) {
             // A job that the replica lacks is recorded too, although this controller has started none of its tasks.
-            if (!isClosed(jobId) && cancelledElsewhere.add(jobId)) {
+            if (!isClosed(jobId) && cancelledElsewhere.putIfAbsent(jobId, timeSource.now()) == null) {
                 newlyCancelled.add(jobId);
             }
         }
@@ -89,7 +87,7 @@
     }
 
     private boolean isCancelledElsewhere(JobRecord job) {
-        return job.isOpen() && cancelledElsewhere.contains(job.id());
+        return job.isOpen() && cancelledElsewhere.containsKey(job.id());
     }
 
     /** A machine's allocations, with the cancellations reported by other controllers applied. */
@@ -104,12 +102,21 @@
                 .toList();
     }
 
-    /** Removes the cancellations that the replica contains. */
+    /**
+     * Removes the cancellations that the replica contains: those of jobs known to have ended, and all that were stored, and therefore
+     * reported, before its last read began. The record of such a job may no longer be in memory.
+     */
     public void prune() {
-        cancelledElsewhere.removeIf(this::isClosed);
+        cancelledElsewhere
+                .entrySet()
+                .removeIf(entry -> isClosed(entry.getKey()) || isContainedInReplica(entry.getValue()));
+    }
+
+    private boolean isContainedInReplica(Duration reportedAt) {
+        return replica.isLoaded() && reportedAt.compareTo(replica.asOf()) < 0;
     }
 
     private boolean isClosed(String jobId) {
-        return replica.job(jobId).filter(job -> !job.isOpen()).isPresent();
+        return replica.retainedJob(jobId).filter(job -> !job.isOpen()).isPresent();
     }
 }
--- a/src/main/java/org/dunespindle/worker/EffectiveAllocations.java
+++ b/src/main/java/org/dunespindle/worker/EffectiveAllocations.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.dunespindle.protocol.TaskStatus;
 import org.dunespindle.protocol.WorkerCommand;
 import org.dunespindle.protocol.WorkerHeartbeat;
+import org.dunespindle.storage.JobRecord;
 import org.dunespindle.storage.PlacedTask;
 import org.dunespindle.storage.StateReplica;
 
@@ -38,9 +40,13 @@
                 .toList();
     }
 
+    /** A reported task of a job that is not in memory: the job may have been cancelled, which is known by the next heartbeat. */
     private boolean isCancelled(TaskStatus task) {
-        return replica.job(task.task().job())
-                .filter(cancellationTracker::isCancelled)
-                .isPresent();
+        String jobId = task.task().job();
+        Optional<JobRecord> job = replica.retainedJob(jobId);
+        if (job.isEmpty()) {
+            replica.prefetchJob(jobId);
+        }
+        return job.filter(cancellationTracker::isCancelled).isPresent();
     }
 }
--- a/src/main/java/org/dunespindle/worker/MachineReconciler.java
+++ b/src/main/java/org/dunespindle/worker/MachineReconciler.java
@@ -112,7 +112,7 @@
         for (TaskStatus task : status.tasks()) {
             if (task.phase() == TaskPhase.RUNNING || task.phase() == TaskPhase.ASSEMBLING) {
                 context.replica()
-                        .job(task.task().job())
+                        .activeJob(task.task().job())
                         .flatMap(job -> job.spec())
                         .ifPresent(spec -> worker.imageFetched(spec.image()));
             }
--- a/src/main/java/org/dunespindle/worker/PendingPreemptions.java
+++ b/src/main/java/org/dunespindle/worker/PendingPreemptions.java
@@ -63,7 +63,7 @@
     }
 
     private static boolean isAllocated(StateReplica replica, TaskAttempt victim) {
-        return replica.job(victim.jobId())
+        return replica.activeJob(victim.jobId())
                 .filter(job -> isAllocated(job, victim))
                 .isPresent();
     }
--- a/src/main/java/org/dunespindle/worker/WorkerClient.java
+++ b/src/main/java/org/dunespindle/worker/WorkerClient.java
@@ -97,7 +97,7 @@
     /** Queues the machines of jobs that other controllers reported as cancelled. */
     public void reconcileCancelledJobs(List<String> jobIds) {
         for (String jobId : jobIds) {
-            replica.job(jobId)
+            replica.activeJob(jobId)
                     .ifPresent(job ->
                             job.allocations().forEach(allocation -> reconciliationQueue.add(allocation.machineId())));
         }
--- a/src/test/java/org/dunespindle/control/ProposedTerminationsTest.java
+++ b/src/test/java/org/dunespindle/control/ProposedTerminationsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.dunespindle.protocol.JobKind;
+import org.dunespindle.protocol.MessagePackCodec;
 import org.dunespindle.protocol.Priority;
 import org.dunespindle.protocol.SubmissionBuilder;
 import org.dunespindle.protocol.TaskId;
@@ -93,6 +95,22 @@
         assertEquals(Optional.empty(), proposed.undecided(TASK));
     }
 
+    /** Guards against terminations that are never decided because the replica no longer holds the job's record. */
+    @Test
+    void isDecidedOnceTheJobHasEndedOrItsRecordIsRemoved() {
+        propose();
+        proposed.settle(TERMINATIONS, NO_ANSWER);
+        JsonNode ended = MessagePackCodec.map().put("at", 0).put("end", "DONE").put("next", 1);
+        replica.applyCommitted(new Transaction().write(Keys.job(JOB), ended), 11);
+        assertEquals(Optional.empty(), proposed.undecided(TASK));
+        storeJob(12);
+        proposed.add(TERMINATIONS);
+        proposed.settle(TERMINATIONS, NO_ANSWER);
+        assertEquals(Optional.of(TERMINATION), proposed.undecided(TASK));
+        replica.applyCommitted(new Transaction().remove(Keys.job(JOB)), 13);
+        assertEquals(Optional.empty(), proposed.undecided(TASK));
+    }
+
     @Test
     void isDecidedOnceTheJobRecordHasChanged() {
         propose();
--- a/src/test/java/org/dunespindle/control/StateServiceStub.java
+++ b/src/test/java/org/dunespindle/control/StateServiceStub.java
@@ -35,7 +35,7 @@
     /** The written values as JSON text, by key. */
     final Map<String, String> written = new LinkedHashMap<>();
 
-    final VirtualTime virtualTime = new VirtualTime(1);
+    public final VirtualTime virtualTime = new VirtualTime(1);
     public final VirtualTime.SimulatedProcess process = virtualTime.new SimulatedProcess();
     public final Settings settings;
     final StateStoreClient client;
--- a/src/test/java/org/dunespindle/sim/AdminAnswersCompatibilityTest.java
+++ b/src/test/java/org/dunespindle/sim/AdminAnswersCompatibilityTest.java
@@ -169,6 +169,10 @@
                 "{'hosts':[{'id':'','type':'','zone':'','spot':false,'owner':'','token':0,'rented':'','tasks':0,"
                         + "'leaving':false}]}",
                 keysOf(get(cluster, "hosts")));
+        assertEquals(
+                "{'controller':'','jobs':0,'keys':0,'cancelledJobs':0,'endedJobs':0,'cacheHits':0,'reads':0,"
+                        + "'failedReads':0,'refusedReads':0}",
+                keysOf(get(cluster, "replica")));
         ObjectNode latency = get(cluster, "latency");
         var names = new ArrayList<String>();
         latency.fieldNames().forEachRemaining(names::add);
--- a/src/test/java/org/dunespindle/sim/AdminTest.java
+++ b/src/test/java/org/dunespindle/sim/AdminTest.java
@@ -72,7 +72,7 @@
         assertTrue(a.body().path("waits").asText().contains("limit"), a.body().toString());
         assertEquals(404, get(cluster, "/v1/jobs/wk-999999").status());
         assertEquals(404, get(cluster, "/v1/unheard-of").status());
-        for (String list : new String[] {"jobs", "hosts", "teams", "controllers", "decisions", "latency"}) {
+        for (String list : new String[] {"jobs", "hosts", "teams", "controllers", "decisions", "latency", "replica"}) {
             assertEquals(200, get(cluster, "/v1/" + list).status(), list);
         }
     }
--- a/src/test/java/org/dunespindle/sim/CombinedFailuresTest.java
+++ b/src/test/java/org/dunespindle/sim/CombinedFailuresTest.java
@@ -365,9 +365,14 @@
         }
     }
 
+    static LongStream unreachableMachineSeeds() {
+        long from = Long.getLong("unreachable.from", 381);
+        return LongStream.range(from, from + Integer.getInteger("unreachable.count", 5));
+    }
+
     /** When the leader crashes, some machines with long tasks are disconnected and others cannot receive messages. */
     @ParameterizedTest
-    @ValueSource(longs = {381, 382, 383, 384, 385})
+    @MethodSource("unreachableMachineSeeds")
     void leaderCrashesWhileMachinesAreUnreachable(long seed) {
         var schedule = schedule(seed);
         SimulatedCluster cluster = schedule.cluster();
--- a/src/test/java/org/dunespindle/sim/FakeStateStore.java
+++ b/src/test/java/org/dunespindle/sim/FakeStateStore.java
@@ -15,6 +15,7 @@
 /** An in-memory state store that implements the protocol of the real one. Its rates are unlimited until a test sets them. */
 public final class FakeStateStore {
     private static final int MAX_TRANSACTION_BYTES = 64 << 10;
+    private static final int COMPACTED_LOG_LENGTH = 1000;
     private int maxTransactionChanges = 16;
     private int maxValueBytes = 8 << 10;
     private Optional<RateLimit> requests = Optional.empty();
@@ -24,6 +25,9 @@
     /** The number of requests and transactions rejected by a rate limit. */
     public int rejectedByRateLimit;
 
+    /** The number of reads of single keys that were answered. */
+    public int keyReads;
+
     private Optional<Listener> listener = Optional.empty();
 
     private final VirtualTime sim;
@@ -31,6 +35,9 @@
     private final Map<Long, Duration> leases = new HashMap<>();
     private final List<ObjectNode> log = new ArrayList<>();
     private long revision = 1;
+    /** The revision of the latest dropped entry of the change log. */
+    private long compactedUpTo;
+
     private long nextLease = 1;
     public boolean unavailable;
 
@@ -90,11 +97,21 @@
         }
         if (path.equals("/watch")) {
             long since = Long.parseLong(parameter(target, "since"));
+            if (since < compactedUpTo) {
+                return new Reply(410, MessagePackCodec.map());
+            }
             ObjectNode n = MessagePackCodec.map().put("epoch", revision);
             var list = n.putArray("log");
             log.stream().filter(e -> e.path("stamp").asLong() > since).forEach(list::add);
             return new Reply(200, n);
         }
+        if (path.startsWith("/keys/")) {
+            return key(path.substring("/keys/".length()));
+        }
+        return page(target);
+    }
+
+    private Reply page(String target) {
         String under = parameter(target, "under");
         String since = parameter(target, "since");
         int limit = Integer.parseInt(parameter(target, "limit"));
@@ -120,6 +137,17 @@
 
     private final Map<Long, Long> ttl = new HashMap<>();
 
+    private Reply key(String key) {
+        keyReads++;
+        Row row = rows.get(key);
+        if (row == null) {
+            return new Reply(404, MessagePackCodec.map().put("epoch", revision));
+        }
+        ObjectNode found = MessagePackCodec.map().put("key", key).put("stamp", row.stamp());
+        found.set("v", row.value());
+        return new Reply(200, found);
+    }
+
     private static String parameter(String target, String name) {
         for (String p : target.substring(target.indexOf('?') + 1).split("&")) {
             if (p.startsWith(name + "=")) {
@@ -166,6 +194,34 @@
         listener.ifPresent(observer -> observer.restore(rows));
     }
 
+    /** Adds a row that is older than the change log. */
+    void addOldRow(String key, JsonNode value) {
+        revision++;
+        rows.put(key, new Row(value, revision, 0));
+    }
+
+    /** Writes a row outside the rate limits, as another client would. */
+    void write(String key, JsonNode value) {
+        revision++;
+        put(key, value, 0);
+    }
+
+    /** Drops the change log's entries except for the latest ones. */
+    void compactLog() {
+        int dropped = Math.max(0, log.size() - COMPACTED_LOG_LENGTH);
+        if (dropped > 0) {
+            compactedUpTo = log.get(dropped - 1).path("stamp").asLong();
+            log.subList(0, dropped).clear();
+        }
+    }
+
+    private void put(String key, JsonNode value, long lease) {
+        rows.put(key, new Row(value, revision, lease));
+        ObjectNode entry = MessagePackCodec.map().put("write", key).put("stamp", revision);
+        entry.set("v", value);
+        log.add(entry);
+    }
+
     private void remove(String key) {
         rows.remove(key);
         log.add(MessagePackCodec.map().put("remove", key).put("stamp", revision));
@@ -230,11 +286,7 @@
                     remove(a.path("remove").asText());
                 }
             } else {
-                String key = a.path("write").asText();
-                rows.put(key, new Row(a.path("v"), revision, a.path("tether").asLong(0)));
-                ObjectNode e = MessagePackCodec.map().put("write", key).put("stamp", revision);
-                e.set("v", a.path("v"));
-                log.add(e);
+                put(a.path("write").asText(), a.path("v"), a.path("tether").asLong(0));
             }
         }
         listener.ifPresent(observer -> observer.applied(revision, changesOf(body)));
--- a/src/test/java/org/dunespindle/sim/FederationTest.java
+++ b/src/test/java/org/dunespindle/sim/FederationTest.java
@@ -19,12 +19,14 @@
 import org.dunespindle.federation.CellRequest;
 import org.dunespindle.federation.InboundJobState;
 import org.dunespindle.federation.InboundJobStatus;
+import org.dunespindle.federation.Rejection;
 import org.dunespindle.federation.Transfer;
 import org.dunespindle.protocol.JobKind;
 import org.dunespindle.protocol.Priority;
 import org.dunespindle.protocol.Submission;
 import org.dunespindle.protocol.SubmissionBuilder;
 import org.dunespindle.storage.FormatVersion;
+import org.dunespindle.storage.Keys;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -172,6 +174,27 @@
         assertEquals(List.of(), federation.violations());
     }
 
+    /** Guards against an offer that is taken for a new job because the remote cell's own ended job of that id is in its store only. */
+    @Test
+    void anIdOfAnEndedJobOfTheRemoteCellIsDeclined() {
+        SimulatedFederation federation = withOneDelegableJob(8, Duration.ofSeconds(20));
+        List<SimulatedCluster> remotes = federation.cells.subList(1, federation.cells.size());
+        remotes.forEach(cell -> cell.state.addOldRow(Keys.job(JOB_ID), JobHistory.record(0)));
+        String declined = Rejection.Reason.ID_TAKEN.description();
+        until(
+                federation,
+                "the job is declined",
+                120,
+                () -> federation.cell("a").decisions().contains(declined));
+        run(federation, 20);
+        for (SimulatedCluster cell : remotes) {
+            assertEquals(JobHistory.record(0), record(cell, JOB_ID).value());
+            assertEquals(
+                    "done", cell.poll(0, JOB_ID).join().body().path("phase").asText());
+        }
+        assertEquals(List.of(), federation.violations());
+    }
+
     private static SimulatedCluster remoteOf(SimulatedFederation federation) {
         return federation.cells.stream()
                 .skip(1)
--- a/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
+++ b/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
@@ -15,6 +15,8 @@
  */
 class RandomFailuresTest {
     private static final int JOBS = 14;
+    /** Several pages of the state store. */
+    private static final int HISTORY = 5000;
     /**
      * Seeds that once failed: the loss or the end of a task showed only in the answer to an inspection or in a heartbeat
      * during an outage.
@@ -98,6 +100,26 @@
         assertEquals(List.of(), schedule.run(), () -> seed + ": " + schedule.faultLog());
     }
 
+    static LongStream historySeeds() {
+        long from = Long.getLong("mix.from", 500);
+        return LongStream.range(from, from + Integer.getInteger("mix.count", 12));
+    }
+
+    /** Guards against jobs that ended long ago and are forgotten, run again or change their state while faults overlap. */
+    @ParameterizedTest
+    @MethodSource("historySeeds")
+    void invariantsHoldInACellWithFinishedJobs(long seed) {
+        var schedule = new RandomFaultSchedule(
+                seed,
+                seed % 2 == 0
+                        ? RandomFaultSchedule.StateService.UNLIMITED
+                        : RandomFaultSchedule.StateService.LIMITED_AND_SLOW);
+        schedule.addHistory(HISTORY);
+        schedule.submitJobs(JOBS);
+        schedule.addRandomFaults(2 + (int) (seed % 5));
+        assertEquals(List.of(), schedule.run(), () -> seed + ": " + schedule.faultLog());
+    }
+
     private static void runSchedule(long seed, RandomFaultSchedule.StateService stateService) {
         var schedule = new RandomFaultSchedule(seed, stateService);
         schedule.submitJobs(JOBS);
--- a/src/test/java/org/dunespindle/sim/RandomFaultSchedule.java
+++ b/src/test/java/org/dunespindle/sim/RandomFaultSchedule.java
@@ -18,6 +18,8 @@
     static final Duration RUN_LENGTH = Duration.ofSeconds(420);
     private static final int MAX_AFFECTED_MACHINES = 3;
     private static final int MAX_CANCELLED_JOBS = 6;
+    private static final int REMEMBERED_JOBS = 40;
+    private static final Duration HISTORY_REQUEST_INTERVAL = Duration.ofMillis(400);
     private static final double REQUESTS_PER_SECOND = 250;
     private static final double WRITES_PER_SECOND = 20;
 
@@ -176,6 +178,18 @@
         }
     }
 
+    /**
+     * Adds jobs that ended before the run. Their users poll, repeat and cancel them all the time, and all controllers crash once at any
+     * moment of the faults.
+     */
+    void addHistory(int size) {
+        JobHistory history = JobHistory.store(cluster, size, REMEMBERED_JOBS);
+        for (Duration at = Duration.ZERO; at.compareTo(FAULTS_OVER) < 0; at = at.plus(HISTORY_REQUEST_INTERVAL)) {
+            cluster.sim.after(at, () -> history.ask(random));
+        }
+        addFault(Fault.ALL_CONTROLLERS_CRASH, millis(5000, 60_000));
+    }
+
     /** Runs the schedule and returns the violated invariants, the failed criteria of the run and the unfinished jobs. */
     List<String> run() {
         cluster.sim.after(FAULTS_OVER, () -> cluster.faultsOver = true);
--- a/src/test/java/org/dunespindle/sim/SimulatedCluster.java
+++ b/src/test/java/org/dunespindle/sim/SimulatedCluster.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -49,6 +50,7 @@
     static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(30);
     static final List<String> ZONES = List.of("east", "west");
     public final VirtualTime sim;
+    private final MessageDraws draws;
     public final FakeStateStore state;
     final InvariantChecker invariants = new InvariantChecker(this);
     final TaskRuns runs = new TaskRuns(this);
@@ -61,7 +63,7 @@
     final Map<String, Set<Integer>> done;
     final Map<String, Duration> cancelled;
     final SimulatedEnvironment environment;
-    private final SimulatedUsers users = new SimulatedUsers(this);
+    final SimulatedUsers users = new SimulatedUsers(this);
     private final SimulatedOperators operators;
     final Map<String, String> reportedPhases = new HashMap<>();
     /** The only controller that the state store answers with 503, or -1. */
@@ -168,6 +170,7 @@
         completed = environment.completed();
         cancelled = environment.cancelled();
         sim = environment.sim();
+        draws = new MessageDraws(sim.random);
         operators = new SimulatedOperators(sim, node -> controllers[node], violations::add);
         state = new FakeStateStore(sim);
         shape.stateRates().ifPresent(rates -> {
@@ -337,7 +340,7 @@
     }
 
     private long delay() {
-        return 2L + extraDelayMillis + sim.random.nextInt(15) + (sim.random.nextInt(50) == 0 ? 300 : 0);
+        return draws.delay(sim.random, extraDelayMillis);
     }
 
     private HttpClient caller(VirtualTime.SimulatedProcess owner, int from) {
@@ -346,7 +349,8 @@
             calls.count(from, address, target, body, result);
             owner.schedule(
                     timeout, () -> result.completeExceptionally(new HttpCallException("no answer in time", true)));
-            boolean duplicated = sim.random.nextDouble() < duplicateRate && address.startsWith("worker");
+            Random random = draws.of(target);
+            boolean duplicated = random.nextDouble() < duplicateRate && address.startsWith("worker");
             if (lateWriteRate > 0 && target.equals("/txn") && sim.random.nextDouble() < lateWriteRate) {
                 recordEvent("late write");
                 sim.after(
@@ -357,7 +361,7 @@
             for (int copy = 0; copy < (duplicated ? 2 : 1); copy++) {
                 int faultDelay = faultDelayMillis(from, address, target);
                 sim.after(
-                        delay() + faultDelay + (long) copy * sim.random.nextInt(8000),
+                        draws.delay(random, extraDelayMillis) + faultDelay + (long) copy * random.nextInt(8000),
                         () -> deliver(owner, from, address, method, target, body, result));
             }
             return result;
@@ -423,15 +427,16 @@
             throw new IllegalStateException(e);
         }
         recordConflicts(from, reply);
-        if (reply == null || sim.random.nextDouble() < lossRate) {
+        Random random = draws.of(target);
+        if (reply == null || random.nextDouble() < lossRate) {
             return; // the target is down, or the request was executed and its answer is lost
         }
         byte[] bytes =
                 address.startsWith("node") ? JsonCodec.write(reply.body()) : MessagePackCodec.write(reply.body());
         int stateDelay =
-                maxStateDelayMillis > 0 && address.startsWith("state") ? sim.random.nextInt(maxStateDelayMillis) : 0;
+                maxStateDelayMillis > 0 && address.startsWith("state") ? random.nextInt(maxStateDelayMillis) : 0;
         sim.after(
-                delay() + stateDelay,
+                draws.delay(random, extraDelayMillis) + stateDelay,
                 () -> owner.arrive(() -> result.complete(new HttpClientResponse(reply.status(), bytes))));
     }
 
@@ -622,6 +627,11 @@
         return result;
     }
 
+    /** Whether a controller runs and is not frozen. */
+    boolean isRunning(int node) {
+        return controllers[node] != null && !processes[node].isDead() && !processes[node].isFrozen();
+    }
+
     /** Polls a job at one controller; the answer arrives in virtual time. */
     CompletableFuture<UserApi.Answer> pollAsync(int node, String id) {
         var result = new CompletableFuture<UserApi.Answer>();
--- a/src/test/java/org/dunespindle/sim/SimulatedUsers.java
+++ b/src/test/java/org/dunespindle/sim/SimulatedUsers.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.dunespindle.api.UserApi;
 import org.dunespindle.protocol.MessagePackCodec;
 import org.dunespindle.protocol.Submission;
@@ -25,6 +27,18 @@
         return cluster.isOver(id) ? Optional.ofNullable(finalStateAt.get(id)) : Optional.empty();
     }
 
+    /** Records a job that ended, and whose end its user was told, before the run. */
+    void rememberEnd(Submission job, String phase) {
+        cluster.jobs.put(job.id(), job);
+        cluster.reportedPhases.put(job.id(), phase);
+        finalStateAt.put(job.id(), cluster.sim.now());
+        if (phase.equals("cancelled")) {
+            cluster.cancelRequested.add(job.id());
+        } else {
+            cluster.done.put(job.id(), IntStream.range(0, job.tasks()).boxed().collect(Collectors.toSet()));
+        }
+    }
+
     void submit(Submission job) {
         cluster.jobs.put(job.id(), job);
         cluster.submittedAt.putIfAbsent(job.id(), cluster.sim.now());
@@ -100,6 +114,20 @@
         cluster.reachableApi().ifPresentOrElse(call, () -> cluster.sim.after(500, ifUnreachable));
     }
 
+    /** Requests the cancellation of a job that has ended; the answer must be its final state. */
+    void cancelEnded(String id) {
+        Duration requestedAt = cluster.sim.now();
+        request(
+                n -> n.cancel(id, a -> {
+                    if (a.status() == 200) {
+                        onAnswer(id, requestedAt, a);
+                    } else if (a.status() != 503) {
+                        cluster.violations.add("forgotten: cancellation of " + id + " answered " + a.status());
+                    }
+                }),
+                () -> {});
+    }
+
     void cancel(String id) {
         Duration requestedAt = cluster.sim.now();
         cluster.cancelRequested.add(id);
--- a/src/test/java/org/dunespindle/sim/StoredAllocations.java
+++ b/src/test/java/org/dunespindle/sim/StoredAllocations.java
@@ -47,10 +47,10 @@
         }
         List<JobRecord> changedJobs = changes.keySet().stream()
                 .filter(key -> key.startsWith(Keys.JOB))
-                .flatMap(key -> replica.job(key.substring(Keys.JOB.length())).stream())
+                .flatMap(key -> replica.retainedJob(key.substring(Keys.JOB.length())).stream())
                 .toList();
         replica.applyCommitted(transaction, revision);
-        changedJobs.forEach(before -> releasedAllocations.check(before, replica.job(before.id()), revision));
+        changedJobs.forEach(before -> releasedAllocations.check(before, replica.retainedJob(before.id()), revision));
         if (changesJobs) {
             checkLimits(revision);
         }
--- a/src/test/java/org/dunespindle/storage/StoredFormsCompatibilityTest.java
+++ b/src/test/java/org/dunespindle/storage/StoredFormsCompatibilityTest.java
@@ -258,7 +258,7 @@
                     ChunkedJobRecordCodec.chunkNode(chunked.chunks().get(i)).toString());
             stored.put("ds/part/wk-000412/" + i, chunks[i]);
         }
-        assertEquals(Optional.of(record), replicaOf(stored).job(ID));
+        assertEquals(Optional.of(record), replicaOf(stored).retainedJob(ID));
     }
 
     @Test
