--- a/src/test/java/org/dunespindle/control/ProposedTerminationsTest.java
+++ b/src/test/java/org/dunespindle/control/ProposedTerminationsTest.java
@@ -9,9 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.dunespindle.protocol.JobKind;
 import org.dunespindle.protocol.MessagePackCodec;
-import org.dunespindle.protocol.Priority;
 import org.dunespindle.protocol.SubmissionBuilder;
 import org.dunespindle.protocol.TaskId;
 import org.dunespindle.sim.VirtualTime;
@@ -38,17 +36,7 @@
     private final ProposedTerminations proposed = new ProposedTerminations(replica);
 
     private void storeJob(long revision) {
-        JobRecord job = JobRecord.accepted(
-                        SubmissionBuilder.submission(JOB)
-                                .jobClass("c")
-                                .team("t")
-                                .kind(JobKind.ARRAY)
-                                .priority(Priority.LOW)
-                                .tasks(1)
-                                .image("i")
-                                .estimate(Duration.ofSeconds(1))
-                                .build(),
-                        Instant.EPOCH)
+        JobRecord job = JobRecord.accepted(SubmissionBuilder.oneTask(JOB), Instant.EPOCH)
                 .withPlaced(Map.of(0, "i-0001"));
         replica.applyCommitted(new Transaction().write(Keys.job(JOB), job.toNode()), revision);
     }
--- a/src/test/java/org/dunespindle/protocol/SubmissionBuilder.java
+++ b/src/test/java/org/dunespindle/protocol/SubmissionBuilder.java
@@ -34,6 +34,19 @@
         return new SubmissionBuilder(id);
     }
 
+    /** Returns the submission of an array with one task. */
+    public static Submission oneTask(String id) {
+        return submission(id)
+                .jobClass("c")
+                .team("t")
+                .kind(JobKind.ARRAY)
+                .priority(Priority.LOW)
+                .tasks(1)
+                .image("i")
+                .estimate(Duration.ofSeconds(1))
+                .build();
+    }
+
     /** Sets the job class, which determines the service-level objectives. */
     public SubmissionBuilder jobClass(String value) {
         jobClass = value;
--- a/src/test/java/org/dunespindle/storage/ReplicaIndexTest.java
+++ b/src/test/java/org/dunespindle/storage/ReplicaIndexTest.java
@@ -5,14 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.dunespindle.protocol.JobKind;
 import org.dunespindle.protocol.MessagePackCodec;
-import org.dunespindle.protocol.Priority;
 import org.dunespindle.protocol.StateMessages.Entry;
 import org.dunespindle.protocol.SubmissionBuilder;
 import org.junit.jupiter.api.Test;
@@ -24,17 +21,7 @@
     private final ReplicaIndex index = new ReplicaIndex();
 
     private static JobRecord open(String id) {
-        return JobRecord.accepted(
-                SubmissionBuilder.submission(id)
-                        .jobClass("c")
-                        .team("t")
-                        .kind(JobKind.ARRAY)
-                        .priority(Priority.LOW)
-                        .tasks(1)
-                        .image("i")
-                        .estimate(Duration.ofSeconds(1))
-                        .build(),
-                Instant.EPOCH);
+        return JobRecord.accepted(SubmissionBuilder.oneTask(id), Instant.EPOCH);
     }
 
     private static JsonNode done(String id) {
--- a/src/test/java/org/dunespindle/worker/CancellationTrackerTest.java
+++ b/src/test/java/org/dunespindle/worker/CancellationTrackerTest.java
@@ -4,31 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import org.dunespindle.control.StateServiceStub;
-import org.dunespindle.protocol.JobKind;
 import org.dunespindle.protocol.MalformedMessageException;
-import org.dunespindle.protocol.Priority;
 import org.dunespindle.protocol.SubmissionBuilder;
 import org.dunespindle.storage.JobRecord;
 import org.junit.jupiter.api.Test;
 
 /** Cancellations that other controllers report are kept until the replica contains them, and no longer. */
 class CancellationTrackerTest {
-    private static final JobRecord JOB = JobRecord.accepted(
-            SubmissionBuilder.submission("wk-000001")
-                    .jobClass("c")
-                    .team("t")
-                    .kind(JobKind.ARRAY)
-                    .priority(Priority.LOW)
-                    .tasks(1)
-                    .image("i")
-                    .estimate(Duration.ofSeconds(1))
-                    .build(),
-            Instant.EPOCH);
+    private static final JobRecord JOB = JobRecord.accepted(SubmissionBuilder.oneTask("wk-000001"), Instant.EPOCH);
 
     @Test
     void aCancellationIsDroppedOnlyAfterAReadThatBeganLater() throws MalformedMessageException {
