sim tests: seeds and load limits of RandomFailuresTest in one place; an unused counter goes

Tests only: seeds, bounds and assertions are what they were. The simulated store forgets its compaction when it is restored, as its log starts anew.

--- a/src/test/java/org/dunespindle/sim/FakeStateStore.java
+++ b/src/test/java/org/dunespindle/sim/FakeStateStore.java
@@ -25,9 +25,6 @@
     /** The number of requests and transactions rejected by a rate limit. */
     public int rejectedByRateLimit;
 
-    /** The number of reads of single keys that were answered. */
-    public int keyReads;
-
     private Optional<Listener> listener = Optional.empty();
 
     private final VirtualTime sim;
@@ -138,7 +135,6 @@
     private final Map<Long, Long> ttl = new HashMap<>();
 
     private Reply key(String key) {
-        keyReads++;
         Row row = rows.get(key);
         if (row == null) {
             return new Reply(404, MessagePackCodec.map().put("epoch", revision));
@@ -190,6 +186,7 @@
         });
         revision = before.values().stream().mapToLong(Row::stamp).max().orElse(0) + 1;
         log.clear();
+        compactedUpTo = 0;
         leases.clear();
         listener.ifPresent(observer -> observer.restore(rows));
     }
--- a/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
+++ b/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
@@ -33,10 +33,13 @@
         1024, 1025, 1045, 1075, 1168, 1194, 1005, 1009, 1027, 1029, 1043, 1065, 1074
     };
 
-    static LongStream seeds() {
+    private static LongStream drawnSeeds(int defaultCount) {
         long from = Long.getLong("mix.from", 500);
-        return LongStream.concat(
-                LongStream.of(FORMERLY_FAILING), LongStream.range(from, from + Integer.getInteger("mix.count", 24)));
+        return LongStream.range(from, from + Integer.getInteger("mix.count", defaultCount));
+    }
+
+    static LongStream seeds() {
+        return LongStream.concat(LongStream.of(FORMERLY_FAILING), drawnSeeds(24));
     }
 
     @ParameterizedTest
@@ -52,10 +55,7 @@
     }
 
     static LongStream refusedConnectionSeeds() {
-        long from = Long.getLong("mix.from", 500);
-        return LongStream.concat(
-                LongStream.of(FORMERLY_RELEASED_EARLY),
-                LongStream.range(from, from + Integer.getInteger("mix.count", 12)));
+        return LongStream.concat(LongStream.of(FORMERLY_RELEASED_EARLY), drawnSeeds(12));
     }
 
     @ParameterizedTest
@@ -79,20 +79,13 @@
     }
 
     static LongStream hangingMachineSeeds() {
-        long from = Long.getLong("mix.from", 500);
-        return LongStream.concat(
-                LongStream.of(FORMERLY_CANCELLED_TOO_LATE),
-                LongStream.range(from, from + Integer.getInteger("mix.count", 12)));
+        return LongStream.concat(LongStream.of(FORMERLY_CANCELLED_TOO_LATE), drawnSeeds(12));
     }
 
     @ParameterizedTest
     @MethodSource("hangingMachineSeeds")
     void invariantsHoldWhenMachinesOfCancelledJobsHang(long seed) {
-        var schedule = new RandomFaultSchedule(
-                seed,
-                seed % 2 == 0
-                        ? RandomFaultSchedule.StateService.UNLIMITED
-                        : RandomFaultSchedule.StateService.LIMITED_AND_SLOW);
+        var schedule = new RandomFaultSchedule(seed, RandomFaultSchedule.StateService.alternating(seed));
         schedule.cluster().taskDuration = Optional.of(LONG_TASK);
         schedule.submitJobs(JOBS);
         schedule.addCancellationsOnHangingMachines(3);
@@ -101,19 +94,14 @@
     }
 
     static LongStream historySeeds() {
-        long from = Long.getLong("mix.from", 500);
-        return LongStream.range(from, from + Integer.getInteger("mix.count", 12));
+        return drawnSeeds(12);
     }
 
     /** Guards against jobs that ended long ago and are forgotten, run again or change their state while faults overlap. */
     @ParameterizedTest
     @MethodSource("historySeeds")
     void invariantsHoldInACellWithFinishedJobs(long seed) {
-        var schedule = new RandomFaultSchedule(
-                seed,
-                seed % 2 == 0
-                        ? RandomFaultSchedule.StateService.UNLIMITED
-                        : RandomFaultSchedule.StateService.LIMITED_AND_SLOW);
+        var schedule = new RandomFaultSchedule(seed, RandomFaultSchedule.StateService.alternating(seed));
         schedule.addHistory(HISTORY);
         schedule.submitJobs(JOBS);
         schedule.addRandomFaults(2 + (int) (seed % 5));
--- a/src/test/java/org/dunespindle/sim/RandomFaultSchedule.java
+++ b/src/test/java/org/dunespindle/sim/RandomFaultSchedule.java
@@ -30,6 +30,11 @@
         /** Requests beyond the rate limits are rejected, and answers are delayed. */
         LIMITED_AND_SLOW;
 
+        /** The load limits of a seed in tests that alternate between them. */
+        static StateService alternating(long seed) {
+            return seed % 2 == 0 ? UNLIMITED : LIMITED_AND_SLOW;
+        }
+
         ClusterShape of(ClusterShape shape) {
             return this == LIMITED_AND_SLOW ? shape.withStateRates(REQUESTS_PER_SECOND, WRITES_PER_SECOND) : shape;
         }
