--- a/review/stand-2/Case.java
+++ b/review/stand-2/Case.java
@@ -18,6 +18,7 @@
             switch (args[0]) {
                 case "no-free-sockets" -> NoFreeSockets.run(args[1]);
                 case "all-end", "leader-still", "alone" -> HungMachines.run(args[1], args[0]);
+                case "no-capacity" -> NoCapacity.run(args[1]);
                 default -> throw new IllegalArgumentException(args[0]);
             }
             throw new IllegalStateException("the case ended without a result");
--- a/review/stand-2/Cell.java
+++ b/review/stand-2/Cell.java
@@ -21,6 +21,12 @@
     double reportS;
     double leaseS;
     double cancelS;
+    double gangWaitS;
+    double gangPeerS;
+    final Gangs gangs = new Gangs(this);
+    /** By job, when all tasks of a gang first ran together. */
+    final Map<String, Double> runningAt = new ConcurrentHashMap<>();
+
     String settings = "";
     String[] areas;
     State state;
@@ -214,6 +220,10 @@
         startedAt.put(piece, now());
     }
 
+    void running(String job) {
+        runningAt.putIfAbsent(job, now());
+    }
+
     /** An array of one class; its tasks run for a time that only the workers know. */
     ObjectNode job(String id, String jobclass, String owner, int pieces, double cpus, double gpus, double ram) {
         ObjectNode job = Http.map()
@@ -239,6 +249,9 @@
     void submit(ObjectNode job, double runs) throws InterruptedException {
         String id = job.path("id").asText();
         runS.put(id, runs);
+        if (job.path("shape").asText().equals("group")) {
+            gangs.add(id, job.path("pieces").asInt());
+        }
         for (int tries = 0; tries < 60; tries++) {
             Http.Reply reply = Http.call(fronts[tries % nodes()], "POST", "/submissions", job, 5000);
             record("submit " + id + " -> " + reply.status());
@@ -314,6 +327,8 @@
         reportS = 1;
         leaseS = 10;
         cancelS = 35;
+        gangWaitS = 35;
+        gangPeerS = 5;
         areas = new String[] {"boaviagem", "olinda", "boaviagem"};
         List<String> zones = List.of("boaviagem", "olinda");
         settings = settings(
@@ -332,6 +347,8 @@
         reportS = 5;
         leaseS = 31;
         cancelS = 51;
+        gangWaitS = 50;
+        gangPeerS = 8;
         areas = new String[] {"murufer", "schlossberg", "puntigam"};
         List<String> zones = List.of(areas);
         var teams = new StringBuilder();
--- a/review/stand-2/Cloud.java
+++ b/review/stand-2/Cloud.java
@@ -17,6 +17,8 @@
     final Map<String, Worker> machines = new ConcurrentSkipListMap<>();
     private final Map<String, JsonNode> charters = new HashMap<>();
     private int rented;
+    /** A zone in which nothing can be rented; null for none. */
+    volatile String without;
 
     private record Old(double at, JsonNode hosts) {}
 
@@ -89,7 +91,7 @@
         String dune = request.path("dune").asText();
         long there = machines.values().stream().filter(m -> m.dune.equals(dune)).count();
         long count = Math.min(request.path("count").asLong(), mostPerZone - there);
-        if (count <= 0 || request.path("driftwood").asBoolean()) {
+        if (dune.equals(without) || count <= 0 || request.path("driftwood").asBoolean()) {
             return new Http.Reply(503, Http.map().put("error", "no capacity"));
         }
         ObjectNode body = Http.map();
--- a/review/stand-2/Worker.java
+++ b/review/stand-2/Worker.java
@@ -29,6 +29,7 @@
         final long attempt;
         final double imageAt;
         double endsAt;
+        double gatherUntil;
         String phase = "pulling";
         String cause = "";
 
@@ -72,7 +73,10 @@
     synchronized void gone() {
         tasks.values().stream()
                 .filter(Task::onMachine)
-                .forEach(task -> cell.record("task " + task.piece + " is gone with " + id));
+                .forEach(task -> {
+                    cell.record("task " + task.piece + " is gone with " + id);
+                    cell.gangs.leave(task.piece, task.attempt);
+                });
         tasks.clear();
         gone = true;
     }
@@ -178,6 +182,7 @@
         task.phase = "exited";
         task.cause = cause;
         changed = true;
+        cell.gangs.leave(task.piece, task.attempt);
         cell.record("task " + task.piece + " try " + task.attempt + " on " + id + " exits: " + cause);
     }
 
@@ -187,6 +192,7 @@
         if (now - leaseFrom > cell.leaseS) {
             if (!tasks.isEmpty()) {
                 cell.record("worker " + id + " loses its lease and kills all its tasks");
+                tasks.values().forEach(task -> cell.gangs.leave(task.piece, task.attempt));
             }
             tasks.clear();
             tenure++;
@@ -195,12 +201,26 @@
         }
         for (Task task : tasks.values()) {
             if (task.phase.equals("pulling") && now >= task.imageAt) {
-                task.phase = "running";
-                task.endsAt = now + cell.runS(task.piece);
                 changed = true;
                 cell.started(task.piece, id);
+                if (cell.gangs.isGang(task.piece)) {
+                    task.phase = "gathering";
+                    task.gatherUntil = now + cell.gangWaitS;
+                    cell.gangs.gather(task.piece, task.attempt);
+                } else {
+                    task.phase = "running";
+                    task.endsAt = now + cell.runS(task.piece);
+                }
+            } else if (task.phase.equals("gathering") && cell.gangs.endsAt(task.piece, task.attempt) > 0) {
+                task.phase = "running";
+                task.endsAt = cell.gangs.endsAt(task.piece, task.attempt);
+                changed = true;
+            } else if (task.phase.equals("gathering") && now > task.gatherUntil) {
+                exit(task, "incomplete");
             } else if (task.phase.equals("running") && now >= task.endsAt) {
                 exit(task, "done");
+            } else if (task.phase.equals("running") && cell.gangs.isBroken(task.piece, task.attempt)) {
+                exit(task, "peers");
             }
         }
     }
