--- a/review/stand-2/Case.java
+++ b/review/stand-2/Case.java
@@ -17,7 +17,7 @@
         try {
             switch (args[0]) {
                 case "no-free-sockets" -> NoFreeSockets.run(args[1]);
-                case "all-end", "leader-still", "alone" -> HungMachines.run(args[1], args[0]);
+                case "all-end", "leader-still", "leader-ends-out", "alone" -> HungMachines.run(args[1], args[0]);
                 case "no-capacity" -> NoCapacity.run(args[1]);
                 default -> throw new IllegalArgumentException(args[0]);
             }
--- a/review/stand-2/Cell.java
+++ b/review/stand-2/Cell.java
@@ -1,4 +1,3 @@
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -184,7 +183,12 @@
     /** Stops a controller process (STOP) or lets it go on (CONT); its clocks run on. */
     void signal(int index, String name) throws Exception {
         record("controller spindle-" + index + " gets " + name);
-        new ProcessBuilder("kill", "-" + name, Long.toString(processes[index].pid())).start().waitFor();
+        int result = new ProcessBuilder("bash", "-c", "kill -" + name + " " + processes[index].pid())
+                .start()
+                .waitFor();
+        if (result != 0) {
+            exit(2, "could not run: the signal was not sent");
+        }
     }
 
     boolean isAlive(int index) {
@@ -366,7 +370,4 @@
         cloud = new Cloud(this, type("rechenkiste", 24, 2, 144, 120, 0.6, 4.67, 1.75, 40, zones), 10, 5, 1500);
     }
 
-    static JsonNode none() {
-        return Http.map();
-    }
 }
--- a/review/stand-2/HungMachines.java
+++ b/review/stand-2/HungMachines.java
@@ -5,11 +5,15 @@
 
 /**
  * Users cancel jobs whose machines hang at that moment. Before the time for the cancellations is over, all controllers end and come back
- * (all-end), the leader stands still for some seconds (leader-still), or nothing else happens (alone).
+ * (all-end), the leader stands still for some seconds (leader-still), the leader ends and the state service is out from then on for
+ * longer than cancel_s (leader-ends-out), or nothing else happens (alone).
  */
 final class HungMachines {
     private static final int HUNG = 5;
     private static final double HANG_S = 75;
+    /** Longer than cancel_s. */
+    private static final double OUT_S = 53;
+
     /** Clocks of the test and of its threads are read apart. */
     private static final double MARGIN_S = 0.25;
 
@@ -39,6 +43,7 @@
         }
         double last = toldAt.values().stream().mapToDouble(at -> at).max().orElseThrow();
         cell.record("leader is spindle-" + cell.leader());
+        double outSince = 0;
         boolean acted = !cell.trouble || variant.equals("alone");
         var broken = new ArrayList<String>();
         while (cell.now() < last + cell.cancelS + 8) {
@@ -52,6 +57,19 @@
                 for (int node = 0; node < 3; node++) {
                     cell.start(node);
                 }
+            } else if (!acted && variant.equals("leader-ends-out") && since > 1) {
+                acted = true;
+                int leader = cell.leader();
+                cell.kill(leader);
+                cell.state.outage(true);
+                cell.record("the state service is out");
+                outSince = cell.now();
+                Thread.sleep(4000);
+                cell.start(leader);
+            } else if (outSince > 0 && cell.now() > outSince + OUT_S) {
+                outSince = 0;
+                cell.state.outage(false);
+                cell.record("the state service is back");
             } else if (!acted && variant.equals("leader-still") && since > 39.5) {
                 acted = true;
                 int leader = cell.leader();
