--- a/src/main/java/org/dunespindle/control/LeaderRecord.java
+++ b/src/main/java/org/dunespindle/control/LeaderRecord.java
@@ -5,7 +5,7 @@
 import org.dunespindle.protocol.MessagePackCodec;
 
 /** The stored record of the leader; the state store deletes it when the leader's lease ends. */
-record LeaderRecord(String node, long incarnation) {
+public record LeaderRecord(String node, long incarnation) {
     private static final String NODE = "node";
     private static final String INCARNATION = "inc";
 
--- a/src/main/java/org/dunespindle/control/Membership.java
+++ b/src/main/java/org/dunespindle/control/Membership.java
@@ -102,7 +102,12 @@
 
     /** The name of the stored leader, which may have crashed. */
     public Optional<String> leader() {
-        return election.leader().map(LeaderRecord::node);
+        return leaderRecord().map(LeaderRecord::node);
+    }
+
+    /** The name and incarnation of the stored leader, which may have crashed. */
+    public Optional<LeaderRecord> leaderRecord() {
+        return election.leader();
     }
 
     /** Whether this controller is the leader. */
--- a/src/main/java/org/dunespindle/controller/Controller.java
+++ b/src/main/java/org/dunespindle/controller/Controller.java
@@ -84,11 +84,12 @@
 
     private void sendPeerHeartbeat() {
         if (parts.shared.replica.isLoaded()) {
+            Duration replicaStaleness = parts.shared.replica.staleness();
             parts.workers.writeRateAllocator.adjust();
             parts.workers.peerHeartbeats.send(
-                    parts.shared.replica.staleness(),
+                    replicaStaleness,
                     parts.workers.writeRateAllocator.demand(),
-                    parts.workers.peerHeartbeats.hasRemoteLeader()
+                    parts.workers.peerHeartbeats.sendsMachineReports(replicaStaleness)
                             ? parts.machines.statusReporter.ownedMachineStatuses()
                             : List.of());
             pruneStaleState();
--- a/src/main/java/org/dunespindle/controller/ControllerHealth.java
+++ b/src/main/java/org/dunespindle/controller/ControllerHealth.java
@@ -1,8 +1,7 @@
 package org.dunespindle.controller;
 
 import java.time.Duration;
-import java.util.List;
-import org.dunespindle.peer.PeerState;
+import org.dunespindle.peer.PeerHeartbeats;
 
 /** Determines whether this controller can serve requests, and whether it is partitioned from the state store. */
 final class ControllerHealth {
@@ -46,11 +45,10 @@
         if (parts.shared.replica.staleness().compareTo(MIN_STALENESS_OF_PARTITION) < 0) {
             return false;
         }
-        List<PeerState> livePeers = parts.workers.peerHeartbeats.livePeers();
-        if (livePeers.isEmpty()) {
+        PeerHeartbeats peerHeartbeats = parts.workers.peerHeartbeats;
+        if (peerHeartbeats.livePeers().isEmpty()) {
             return !parts.shared.settings.seeds().isEmpty();
         }
-        return livePeers.stream()
-                .anyMatch(peer -> peer.replicaStaleness().compareTo(DecisionLoop.MAX_STALENESS_FOR_PLACEMENT) < 0);
+        return peerHeartbeats.hearsControllerWithFreshReplica();
     }
 }
--- a/src/main/java/org/dunespindle/controller/DecisionLoop.java
+++ b/src/main/java/org/dunespindle/controller/DecisionLoop.java
@@ -77,13 +77,16 @@
             // Also needed if this controller is the leader again by the next plan: it has not observed the fleet since.
             parts.machines.fleetManager.discardLeaderState();
         }
-        if (!parts.shared.replica.isLoaded() || parts.shared.membership.incarnation() == 0) {
+        if (!parts.shared.replica.isLoaded()) {
+            return;
+        }
+        parts.machines.cancellationEnforcer.tick();
+        if (parts.shared.membership.incarnation() == 0) {
             return;
         }
         parts.workers.workerClient.reconcilePending();
         boolean scanDue = scanIsDue();
         if (scanDue) {
-            parts.workers.cancellationDeadlines.update();
             parts.jobs.terminationWriter.storePending(
                     parts.shared.membership.isLeader() ? terminationsOnLostMachines() : List.of());
         }
@@ -106,9 +109,6 @@
         if (parts.shared.replica.staleness().compareTo(MAX_STALENESS_FOR_PLACEMENT) > 0
                 || parts.machines.catalog.types().isEmpty()) {
             // An outage of the state store or the cloud: running tasks continue, no tasks are placed.
-            if (parts.shared.membership.isLeader() && !parts.health.isPartitioned()) {
-                parts.machines.fleetManager.endCancelledTasks();
-            }
             return;
         }
         if (parts.shared.membership.isLeader()) {
--- a/src/main/java/org/dunespindle/controller/MachineParts.java
+++ b/src/main/java/org/dunespindle/controller/MachineParts.java
@@ -2,6 +2,7 @@
 
 import org.dunespindle.control.ControllerContext;
 import org.dunespindle.control.MachineRecordWriter;
+import org.dunespindle.machine.CancellationEnforcer;
 import org.dunespindle.machine.CloudClient;
 import org.dunespindle.machine.CloudInventory;
 import org.dunespindle.machine.CrashLoopDetector;
@@ -24,6 +25,7 @@
     final MachineTerminator terminator;
     final MachineProvisioner provisioner;
     final FleetManager fleetManager;
+    final CancellationEnforcer cancellationEnforcer;
     final MachineStatusReporter statusReporter;
     final ShardOwnership shardOwnership;
 
@@ -43,12 +45,10 @@
                 new MachineProvisioner(context, machineWriter, cloud, catalog, objectives, terminator::isTerminated);
         var inventory = new CloudInventory(context, machineWriter, cloud, provisioner, terminator);
         var quarantine = new Quarantine(crashLoopDetector, workers.peerHeartbeats, shared.timeSource, shared.options);
-        var failureDetector = new FailureDetector(
-                context,
-                workers.workerClient,
-                workers.peerHeartbeats,
-                workers.cancellationDeadlines,
-                inventory::address);
+        var failureDetector =
+                new FailureDetector(context, workers.workerClient, workers.peerHeartbeats, inventory::address);
+        cancellationEnforcer = new CancellationEnforcer(
+                context, workers.cancellationDeadlines, failureDetector, workers.peerHeartbeats, terminator);
         fleetManager = new FleetManager(
                 context,
                 machineWriter,
--- a/src/main/java/org/dunespindle/machine/FleetManager.java
+++ b/src/main/java/org/dunespindle/machine/FleetManager.java
@@ -94,24 +94,6 @@
         provisioner.rent(plan);
     }
 
-    /**
-     * Terminates silent machines whose cancelled tasks must end now, and nothing else: in an outage of the state service no other
-     * decision is made, but users rely on the end of these tasks. The termination itself needs no write.
-     */
-    public void endCancelledTasks() {
-        Duration now = context.timeSource().now();
-        if (leadingSince.isEmpty() || now.compareTo(nextEvaluationAt) < 0) {
-            return;
-        }
-        nextEvaluationAt = now.plus(EVALUATION_INTERVAL);
-        for (MachineRecord machine : List.copyOf(context.replica().machines().values())) {
-            if (terminator.isWaitingForTasks(machine) || !terminator.isTerminating(machine)) {
-                evaluator.evaluateCancelledTasks(machine).ifPresent(reason -> retire(machine, reason));
-            }
-        }
-        terminator.terminateDue();
-    }
-
     /** Discards the leader's observations, which are not valid in a later term. Called while this controller is not the leader. */
     public void discardLeaderState() {
         if (leadingSince.isPresent()) {
--- a/src/main/java/org/dunespindle/machine/MachineEvaluator.java
+++ b/src/main/java/org/dunespindle/machine/MachineEvaluator.java
@@ -83,10 +83,6 @@
         if (isListedAsFailed(machine)) {
             return Optional.of(DrainReason.FAILED);
         }
-        Optional<DrainReason> cancellation = evaluateCancelledTasks(machine);
-        if (cancellation.isPresent()) {
-            return cancellation;
-        }
         if (failureDetector.lastSeen(machine).isEmpty()) {
             return evaluateWithoutHeartbeat(machine, now, leadingSince);
         }
@@ -100,13 +96,6 @@
         return Optional.empty();
     }
 
-    /** Returns a reason to terminate a machine if it is silent and cancelled tasks on it must end now. */
-    Optional<DrainReason> evaluateCancelledTasks(MachineRecord machine) {
-        return failureDetector.holdsCancelledTasksTooLong(machine)
-                ? Optional.of(DrainReason.CANCELLED_TASKS_DUE)
-                : Optional.empty();
-    }
-
     /** Evaluates a machine from which no controller has received a heartbeat since it was rented. */
     private Optional<DrainReason> evaluateWithoutHeartbeat(MachineRecord machine, Duration now, Duration leadingSince) {
         Duration heartbeatTimeout = options.get().failureTimeout();
--- a/src/main/java/org/dunespindle/machine/MachineTerminator.java
+++ b/src/main/java/org/dunespindle/machine/MachineTerminator.java
@@ -1,12 +1,12 @@
 package org.dunespindle.machine;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.dunespindle.control.CommitPriority;
 import org.dunespindle.control.ControllerContext;
 import org.dunespindle.control.MachineRecordWriter;
@@ -87,6 +87,11 @@
         terminatingWithoutDrain.add(machine.id());
     }
 
+    /** Whether a machine's termination without a drain is pending. */
+    boolean isMarked(String machineId) {
+        return terminatingWithoutDrain.contains(machineId);
+    }
+
     private void recordEvent(MachineRecord machine, DrainReason reason) {
         context.eventRecorder().record(LOG, "machine {} is given back: {}", machine.id(), reason.text());
     }
@@ -112,10 +117,21 @@
 
     /** Terminates the machines that are due, in one request; the next one is sent once it is answered. */
     void terminateDue() {
+        terminateAll(machine -> isMarked(machine.id()) || isDrained(machine));
+    }
+
+    /** Terminates only the machines whose termination without a drain is pending. */
+    void terminateMarked() {
+        if (!terminatingWithoutDrain.isEmpty()) {
+            terminateAll(machine -> isMarked(machine.id()));
+        }
+    }
+
+    private void terminateAll(Predicate<MachineRecord> isDue) {
         if (requestInFlight) {
             return;
         }
-        List<String> machineIds = dueForTermination();
+        List<String> machineIds = notYetTerminated(isDue);
         if (machineIds.isEmpty()) {
             return;
         }
@@ -132,15 +148,13 @@
         });
     }
 
-    private List<String> dueForTermination() {
-        var machineIds = new ArrayList<String>();
-        for (MachineRecord machine : replica.machines().values()) {
-            boolean due = terminatingWithoutDrain.contains(machine.id()) || isDrained(machine);
-            if (due && !isTerminated(machine.id()) && machineIds.size() < MAX_MACHINES_PER_REQUEST) {
-                machineIds.add(machine.id());
-            }
-        }
-        return machineIds;
+    private List<String> notYetTerminated(Predicate<MachineRecord> isDue) {
+        return replica.machines().values().stream()
+                .filter(isDue)
+                .map(MachineRecord::id)
+                .filter(machineId -> !isTerminated(machineId))
+                .limit(MAX_MACHINES_PER_REQUEST)
+                .toList();
     }
 
     private boolean isDrained(MachineRecord machine) {
--- a/src/main/java/org/dunespindle/peer/PeerHeartbeats.java
+++ b/src/main/java/org/dunespindle/peer/PeerHeartbeats.java
@@ -31,6 +31,8 @@
     private static final String CONTENT_TYPE = "application/json";
     private static final int OK = 200;
     private static final Duration REQUEST_TIMEOUT = Duration.ofMillis(1500);
+    /** The replica staleness from which on the state service counts as out. */
+    private static final Duration MIN_STALENESS_OF_OUTAGE = Duration.ofSeconds(3);
 
     private final Settings settings;
     private final HttpClient httpClient;
@@ -122,9 +124,29 @@
         machineDirectory.retainMachines(machineIds);
     }
 
-    /** Whether another controller is the leader, so that the statuses of this controller's machines are sent to it. */
-    public boolean hasRemoteLeader() {
-        return leader.get().filter(node -> !node.equals(settings.nodeName())).isPresent();
+    /** Whether this controller and those whose heartbeats are recent are a majority of all controllers. */
+    public boolean hearsMajority() {
+        int controllers = settings.seeds().size() + 1;
+        return 2 * (livePeers().size() + 1) > controllers;
+    }
+
+    /** Whether another controller reads the state service, according to its recent heartbeat. */
+    public boolean hearsControllerWithFreshReplica() {
+        return livePeers().stream().anyMatch(peer -> peer.replicaStaleness().compareTo(MIN_STALENESS_OF_OUTAGE) < 0);
+    }
+
+    /** Whether the statuses of this controller's machines are sent to any other controller. */
+    public boolean sendsMachineReports(Duration replicaStaleness) {
+        return settings.seeds().stream().anyMatch(peer -> receivesMachineReports(peer.name(), replicaStaleness));
+    }
+
+    /**
+     * Whether another controller acts on machine reports: the leader, and while the state service is out any controller, since the leader
+     * can't be replaced.
+     */
+    private boolean receivesMachineReports(String peer, Duration replicaStaleness) {
+        return replicaStaleness.compareTo(MIN_STALENESS_OF_OUTAGE) >= 0
+                || leader.get().filter(peer::equals).isPresent();
     }
 
     /**
@@ -136,7 +158,9 @@
         SenderStatus sender = status(replicaStaleness, writeDemand);
         for (Settings.Seed peer : settings.seeds()) {
             var heartbeat = new PeerHeartbeat(
-                    sender, OptionalLong.of(replica.appliedRevision()), unacknowledgedReports(peer.name(), statuses));
+                    sender,
+                    OptionalLong.of(replica.appliedRevision()),
+                    unacknowledgedReports(peer.name(), replicaStaleness, statuses));
             Duration requestedAt = timeSource.now();
             httpClient
                     .send(
@@ -154,8 +178,9 @@
         return new SenderStatus(settings.nodeName(), incarnation.getAsLong(), replicaStaleness, writeDemand);
     }
 
-    private Optional<MachineReportBatch> unacknowledgedReports(String peer, List<MachineStatus> statuses) {
-        if (leader.get().filter(peer::equals).isEmpty()) {
+    private Optional<MachineReportBatch> unacknowledgedReports(
+            String peer, Duration replicaStaleness, List<MachineStatus> statuses) {
+        if (!receivesMachineReports(peer, replicaStaleness)) {
             return Optional.empty();
         }
         return Optional.of(MachineReportBatch.select(statuses, acknowledgedSequences.getOrDefault(peer, 0L)));
--- a/src/main/java/org/dunespindle/worker/CancellationDeadlines.java
+++ b/src/main/java/org/dunespindle/worker/CancellationDeadlines.java
@@ -7,13 +7,13 @@
 import java.util.Optional;
 import java.util.Set;
 import org.dunespindle.control.ControllerContext;
+import org.dunespindle.storage.Allocation;
 import org.dunespindle.storage.JobRecord;
-import org.dunespindle.storage.PlacedTask;
 
 /**
- * Until when the tasks of cancelled jobs may stay on machines that give no sign of life. A user who was told of a cancellation relies on
- * the end of its tasks within the cancellation timeout. A machine behind a partition ends them by itself when its lease expires, a
- * hanging machine doesn't, and the two can't be told apart; so the machine is terminated shortly before the timeout.
+ * From when on tasks of cancelled jobs on machines that give no sign of life must be ended. A user who was told of a cancellation relies
+ * on the end of its tasks within the cancellation timeout. A machine behind a partition ends them by itself when its lease expires, a
+ * hanging machine doesn't, and the two can't be told apart; so the machine is terminated before the timeout.
  *
  * <p>When a user was told isn't stored. It was not before the time up to which this controller knew all cancellations when it didn't know
  * this one yet. Cancellations that a process finds at its start may have been confirmed at any time before, so they are due as soon as
@@ -28,7 +28,7 @@
     private final ControllerContext context;
     private final CancellationTracker cancellationTracker;
     private final Duration timeUntilDue;
-    /** By job that was cancelled and has allocations: from when on its tasks on silent machines must be ended. */
+    /** By job that was cancelled and has allocations. */
     private final Map<String, Duration> dueAt = new HashMap<>();
 
     private Duration nextUpdateAt = Duration.ZERO;
@@ -42,7 +42,7 @@
         this.timeUntilDue = context.settings().workers().cancellationTimeout().minus(TERMINATION_TIME);
     }
 
-    /** Records the cancellations that have become known. Called regularly on every controller, since any may become the leader. */
+    /** Records the cancellations that have become known. Called regularly on every controller, since any may have to act. */
     public void update() {
         Duration now = context.timeSource().now();
         if (now.compareTo(nextUpdateAt) < 0) {
@@ -62,18 +62,21 @@
         dueAtOfNext = Optional.of(now.minus(cancellationTracker.staleness()).plus(timeUntilDue));
     }
 
-    /** Whether a machine holds tasks of cancelled jobs that must be ended now if the machine gives no sign of life. */
-    boolean isDue(String machineId) {
-        if (dueAt.isEmpty()) {
-            return false;
-        }
+    /** The machines with tasks that are due, and since when. They may have ended their tasks already, which is not stored yet. */
+    public Map<String, Duration> dueMachines() {
         Duration now = context.timeSource().now();
-        for (PlacedTask placed : context.replica().allocationsOn(machineId)) {
-            Duration due = dueAt.get(placed.job().id());
-            if (due != null && due.compareTo(now) <= 0) {
-                return true;
+        var machines = new HashMap<String, Duration>();
+        dueAt.forEach((jobId, due) -> {
+            if (due.compareTo(now) <= 0) {
+                context.replica().activeJob(jobId).ifPresent(job -> addMachines(job, due, machines));
             }
+        });
+        return machines;
+    }
+
+    private static void addMachines(JobRecord job, Duration due, Map<String, Duration> machines) {
+        for (Allocation allocation : job.allocations()) {
+            machines.merge(allocation.machineId(), due, (one, other) -> one.compareTo(other) < 0 ? one : other);
         }
-        return false;
     }
 }
--- a/src/main/java/org/dunespindle/worker/FailureDetector.java
+++ b/src/main/java/org/dunespindle/worker/FailureDetector.java
@@ -25,7 +25,6 @@
     private final PeerHeartbeats peerHeartbeats;
     private final GroupOutageDetector outageDetector;
     private final SuspectInspection suspectInspection;
-    private final CancellationDeadlines cancellationDeadlines;
     private final WorkerReachability reachability;
     private final Map<String, TokenChange> tokenChanges = new HashMap<>();
 
@@ -41,10 +40,8 @@
             ControllerContext context,
             WorkerClient workerClient,
             PeerHeartbeats peerHeartbeats,
-            CancellationDeadlines cancellationDeadlines,
             Function<String, Optional<String>> listedAddress) {
         this.context = context;
-        this.cancellationDeadlines = cancellationDeadlines;
         this.reachability = workerClient.reachability();
         this.peerHeartbeats = peerHeartbeats;
         this.outageDetector = new GroupOutageDetector(context);
@@ -119,18 +116,20 @@
                 && !mayBeAlive(machine);
     }
 
-    /**
-     * Whether a machine gives no sign of life although tasks of cancelled jobs on it must end now. Users were promised that end, whatever
-     * else speaks for keeping the machine: an outage of its zone, a silent owner, a new owner or leader, operators' options.
-     */
-    public boolean holdsCancelledTasksTooLong(MachineRecord machine) {
-        if (!cancellationDeadlines.isDue(machine.id())) {
-            return false;
-        }
+    /** Whether a machine gives no sign of life: no heartbeat and no answer to an inspection. It may still be behind a partition. */
+    public boolean isProvenSilent(MachineRecord machine) {
         Optional<Duration> lastSeen = lastSeen(machine);
         return reachability.isSilent(lastSeen) && suspectInspection.isUnanswered(machine, lastSeen);
     }
 
+    /** Whether any machine of a zone gave this controller a sign of life lately, so that it isn't cut off from the zone. */
+    public boolean isZoneHeard(String zone) {
+        return context.replica().machines().values().stream()
+                .filter(machine -> machine.zone().equals(zone))
+                .flatMap(machine -> context.workers().find(machine.id()).stream())
+                .anyMatch(worker -> !reachability.isSilent(worker.lastSeenAlive()));
+    }
+
     /**
      * Whether a machine is likely to be partitioned together with most machines of its zone or owner, while its tasks still run. They
      * run as long as a controller on its side of the partition may answer the worker, and then until the lease expires; replacing them
