--- a/src/main/java/org/dunespindle/control/WorkerState.java
+++ b/src/main/java/org/dunespindle/control/WorkerState.java
@@ -19,7 +19,7 @@
     private Duration lastNewStatusAt = Duration.ZERO;
     private boolean callInFlight;
     private boolean inspectionInFlight;
-    private Optional<Duration> inspectionUnansweredAt = Optional.empty();
+    private final UnansweredInspections unansweredInspections = new UnansweredInspections();
     private Optional<Long> unansweredStartToken = Optional.empty();
     private Duration startUnansweredAt = Duration.ZERO;
     private Optional<Duration> commandsUnconfirmedSince = Optional.empty();
@@ -161,19 +161,20 @@
     }
 
     /** Records that an inspection is about to start. */
-    public void inspectionStarted() {
+    public void inspectionStarted(Duration now) {
         inspectionInFlight = true;
+        unansweredInspections.started(now);
     }
 
     /** Records that an inspection was answered or has failed. */
-    public void inspectionEnded(boolean answered, Duration now) {
+    public void inspectionEnded(boolean answered) {
         inspectionInFlight = false;
-        inspectionUnansweredAt = answered ? Optional.empty() : Optional.of(now);
+        unansweredInspections.ended(answered);
     }
 
-    /** When the last inspection by any component failed; empty if it was answered. */
-    public Optional<Duration> inspectionUnansweredAt() {
-        return inspectionUnansweredAt;
+    /** When the earlier of the last two inspections by any component started, if both went unanswered; empty otherwise. */
+    public Optional<Duration> unansweredTwiceSince() {
+        return unansweredInspections.twiceSince();
     }
 
     /** The token of a {@code run} command that went unanswered and may still take effect; empty once it is fenced. */
--- a/src/main/java/org/dunespindle/machine/MachineStatusReporter.java
+++ b/src/main/java/org/dunespindle/machine/MachineStatusReporter.java
@@ -78,7 +78,8 @@
         Duration lastHeartbeatAt = worker.lastHeartbeatAt().orElseThrow();
         Optional<Duration> unconfirmedBefore =
                 worker.commandsUnconfirmedSince().filter(since -> since.compareTo(lastHeartbeatAt) < 0);
-        return context.pauseDetector().observedTimeSince(unconfirmedBefore.orElse(lastHeartbeatAt));
+        // Without regard to a pause of this process, whose end is no sign of life of the machine.
+        return context.timeSource().now().minus(unconfirmedBefore.orElse(lastHeartbeatAt));
     }
 
     /** Whether new tasks may be placed on a machine owned here. */
--- a/src/main/java/org/dunespindle/worker/FailureDetector.java
+++ b/src/main/java/org/dunespindle/worker/FailureDetector.java
@@ -116,10 +116,18 @@
                 && !mayBeAlive(machine);
     }
 
-    /** Whether a machine gives no sign of life: no heartbeat and no answer to an inspection. It may still be behind a partition. */
+    /**
+     * Whether a machine gives no sign of life, proven by inspections rather than by how long this process has observed it: a process that
+     * has just started, or was paused, comes to the same result as any other. Inspects the machine if its heartbeat is late. It may
+     * still be behind a partition.
+     */
     public boolean isProvenSilent(MachineRecord machine) {
         Optional<Duration> lastSeen = lastSeen(machine);
-        return reachability.isSilent(lastSeen) && suspectInspection.isUnanswered(machine, lastSeen);
+        if (lastSeen.isPresent() && !reachability.isHeartbeatLate(lastSeen.get())) {
+            return false;
+        }
+        boolean unanswered = suspectInspection.isUnansweredTwice(machine, lastSeen);
+        return unanswered && (lastSeen.isEmpty() || reachability.isSilent(lastSeen.get()));
     }
 
     /** Whether any machine of a zone gave this controller a sign of life lately, so that it isn't cut off from the zone. */
@@ -127,7 +135,8 @@
         return context.replica().machines().values().stream()
                 .filter(machine -> machine.zone().equals(zone))
                 .flatMap(machine -> context.workers().find(machine.id()).stream())
-                .anyMatch(worker -> !reachability.isSilent(worker.lastSeenAlive()));
+                .flatMap(worker -> worker.lastSeenAlive().stream())
+                .anyMatch(lastSeen -> !reachability.isSilent(lastSeen));
     }
 
     /**
--- a/src/main/java/org/dunespindle/worker/SuspectInspection.java
+++ b/src/main/java/org/dunespindle/worker/SuspectInspection.java
@@ -75,15 +75,14 @@
     }
 
     /**
-     * Whether a suspected machine doesn't answer. Unlike {@link #mayBeAlive}, this accepts an inspection by any component of this
-     * controller: while other inspections of the machine are in flight again and again, none can be started here.
+     * Whether a machine doesn't answer: two inspections in a row, by any component, went unanswered. Starts another one otherwise.
      *
-     * @param lastSeen when the machine last gave a sign of life; an inspection before that proves nothing
+     * @param lastSeen when the machine last gave a sign of life; inspections before that prove nothing
      */
-    boolean isUnanswered(MachineRecord machine, Optional<Duration> lastSeen) {
+    boolean isUnansweredTwice(MachineRecord machine, Optional<Duration> lastSeen) {
         boolean unanswered = workerClient
-                .inspectionUnansweredAt(machine.id())
-                .filter(failedAt -> lastSeen.isEmpty() || failedAt.compareTo(lastSeen.get()) > 0)
+                .unansweredTwiceSince(machine.id())
+                .filter(since -> lastSeen.isEmpty() || since.compareTo(lastSeen.get()) > 0)
                 .filter(this::isRecent)
                 .isPresent();
         return unanswered || !inspect(machine);
--- a/src/main/java/org/dunespindle/worker/WorkerClient.java
+++ b/src/main/java/org/dunespindle/worker/WorkerClient.java
@@ -137,9 +137,9 @@
         return reachability.commandsBlockedFor(machineId);
     }
 
-    /** When the last inspection of a machine failed; empty if it was answered or there was none. */
-    Optional<Duration> inspectionUnansweredAt(String machineId) {
-        return workers.find(machineId).flatMap(WorkerState::inspectionUnansweredAt);
+    /** When the earlier of the last two inspections of a machine started, if both went unanswered; empty otherwise. */
+    Optional<Duration> unansweredTwiceSince(String machineId) {
+        return workers.find(machineId).flatMap(WorkerState::unansweredTwiceSince);
     }
 
     /** Whether a worker's heartbeats no longer arrive, although it may still answer inspections. */
--- a/src/main/java/org/dunespindle/worker/WorkerInspector.java
+++ b/src/main/java/org/dunespindle/worker/WorkerInspector.java
@@ -63,13 +63,13 @@
     }
 
     private void send(String machineId, String address, WorkerState worker, Consumer<Boolean> onResult) {
-        worker.inspectionStarted();
+        worker.inspectionStarted(timeSource.now());
         callLimiter.callStarted(false);
         httpClient
                 .send(address, "GET", "/inspect", NO_BODY, MessagePackCodec.CONTENT_TYPE, INSPECTION_TIMEOUT)
                 .whenComplete((response, failure) -> {
                     boolean answered = isAnswer(machineId, worker, response);
-                    worker.inspectionEnded(answered, timeSource.now());
+                    worker.inspectionEnded(answered);
                     callLimiter.callEnded(false, reconciliationQueue::add);
                     onResult.accept(answered);
                 });
--- a/src/main/java/org/dunespindle/worker/WorkerReachability.java
+++ b/src/main/java/org/dunespindle/worker/WorkerReachability.java
@@ -17,6 +17,9 @@
     /** How late it may be when the worker has to find another controller first. */
     private static final Duration MAX_FAILOVER_DELAY = Duration.ofSeconds(6);
 
+    /** The longest time between two heartbeats of a healthy worker, in quarters of the heartbeat interval. */
+    private static final int MAX_HEARTBEAT_INTERVAL_QUARTERS = 5;
+
     private final ControllerContext context;
 
     WorkerReachability(ControllerContext context) {
@@ -80,9 +83,23 @@
         return isOlderThan(worker.lastHeartbeatAt(), MAX_FAILOVER_DELAY);
     }
 
-    /** Whether a machine's last sign of life to any controller was longer ago than heartbeats may be late. */
-    boolean isSilent(Optional<Duration> lastSeen) {
-        return isOlderThan(lastSeen, MAX_HEARTBEAT_DELAY);
+    /**
+     * Whether a machine's last sign of life was longer ago than heartbeats may be late. A pause of this process doesn't shorten the time, so
+     * this shows a failure only together with inspections that started after the pause.
+     */
+    boolean isSilent(Duration lastSeen) {
+        return timeSince(lastSeen).compareTo(silenceLimit(context.settings().workers())) >= 0;
+    }
+
+    /** Whether a machine's next heartbeat is late, so that it is worth an inspection. */
+    boolean isHeartbeatLate(Duration lastSeen) {
+        Duration latest = Durations.fraction(
+                context.settings().workers().heartbeatInterval(), MAX_HEARTBEAT_INTERVAL_QUARTERS, 4);
+        return timeSince(lastSeen).compareTo(latest) > 0;
+    }
+
+    private Duration timeSince(Duration time) {
+        return context.timeSource().now().minus(time);
     }
 
     /** The time without a sign of life after which a worker counts as silent. */
--- a/src/test/java/org/dunespindle/sim/HangingCancelledTasksTest.java
+++ b/src/test/java/org/dunespindle/sim/HangingCancelledTasksTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -12,8 +13,11 @@
  */
 class HangingCancelledTasksTest {
     private static final int MACHINES = HangingMachinesScenario.MACHINES;
+    private static final int CONTROLLERS = 3;
     /** After which a controller that ended is back. */
     private static final Duration RESTART_TIME = Duration.ofSeconds(4);
+    /** A standstill that is shorter than the leader's lease. */
+    private static final Duration PAUSE = Duration.ofSeconds(4);
 
     static LongStream seeds() {
         long from = Long.getLong("mix.from", 1);
@@ -99,6 +103,37 @@
         scenario.assertEndedInTime();
     }
 
+    /** Seconds after the cancellation, up to the timeout. */
+    static IntStream moments() {
+        return IntStream.rangeClosed(1, (int) SimulatedCluster.CANCEL_TIMEOUT.toSeconds() - 1);
+    }
+
+    /** Guards against a leader that counts the silence of all machines anew after it stood still (review/6). */
+    @ParameterizedTest
+    @MethodSource("moments")
+    void leaderPauses(int second) {
+        var scenario = new HangingMachinesScenario(second);
+        scenario.cancelOnHangingMachines(MACHINES - 1);
+        scenario.run(Duration.ofSeconds(second));
+        scenario.cluster.freeze(Math.max(0, scenario.cluster.leader()), PAUSE);
+        scenario.assertEndedInTime();
+    }
+
+    /** Guards against owners that report the end of their own standstill as a sign of life of their machines (related to review/6). */
+    @ParameterizedTest
+    @MethodSource("moments")
+    void ownersPause(int second) {
+        var scenario = new HangingMachinesScenario(second);
+        scenario.cancelOnHangingMachines(MACHINES - 1);
+        scenario.run(Duration.ofSeconds(second));
+        for (int node = 0; node < CONTROLLERS; node++) {
+            if (node != scenario.cluster.leader()) {
+                scenario.cluster.freeze(node, PAUSE);
+            }
+        }
+        scenario.assertEndedInTime();
+    }
+
     /** Guards against an outage of the state service in which nobody stands in for a leader that has ended (review/7). */
     @ParameterizedTest
     @MethodSource("seeds")
