--- a/src/main/java/org/dunespindle/worker/CancellationDeadlines.java
+++ b/src/main/java/org/dunespindle/worker/CancellationDeadlines.java
@@ -7,8 +7,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.dunespindle.control.ControllerContext;
+import org.dunespindle.protocol.Settings;
 import org.dunespindle.storage.Allocation;
 import org.dunespindle.storage.JobRecord;
+import org.dunespindle.time.Durations;
 
 /**
  * From when on tasks of cancelled jobs on machines that give no sign of life must be ended. A user who was told of a cancellation relies
@@ -16,11 +18,12 @@
  * hanging machine doesn't, and the two can't be told apart; so the machine is terminated before the timeout.
  *
  * <p>When a user was told isn't stored. It was not before the time up to which this controller knew all cancellations when it didn't know
- * this one yet. Cancellations that a process finds at its start may have been confirmed at any time before, so they are due as soon as
- * healthy workers have had the time to find this controller.
+ * this one yet. Cancellations that a process finds at its start may have been confirmed at any time before, so they are due at once.
  */
 public final class CancellationDeadlines {
-    /** The time that an inspection of a machine and its termination take, with one retry. */
+    /** The time after which a process that ended is back, with its replica loaded. */
+    private static final Duration RESTART_TIME = Duration.ofSeconds(8);
+    /** The time for the turn of another controller, two inspections of a machine and its termination, with one retry. */
     private static final Duration TERMINATION_TIME = Duration.ofSeconds(8);
 
     private static final Duration UPDATE_INTERVAL = Duration.ofMillis(500);
@@ -39,7 +42,18 @@
     public CancellationDeadlines(ControllerContext context, CancellationTracker cancellationTracker) {
         this.context = context;
         this.cancellationTracker = cancellationTracker;
-        this.timeUntilDue = context.settings().workers().cancellationTimeout().minus(TERMINATION_TIME);
+        this.timeUntilDue = timeUntilDue(context.settings().workers());
+    }
+
+    /**
+     * Leaves time for a termination, and also for the start of a process that ends just before it; but while a machine behind a partition
+     * may still have its lease, only the former.
+     */
+    private static Duration timeUntilDue(Settings.Workers workers) {
+        Duration latest = workers.cancellationTimeout().minus(TERMINATION_TIME);
+        Duration leaseEnd = workers.leaseDuration();
+        Duration earliest = leaseEnd.compareTo(latest) < 0 ? leaseEnd : latest;
+        return Durations.max(latest.minus(RESTART_TIME), earliest);
     }
 
     /** Records the cancellations that have become known. Called regularly on every controller, since any may have to act. */
@@ -49,8 +63,7 @@
             return;
         }
         nextUpdateAt = now.plus(UPDATE_INTERVAL);
-        Duration dueAtOfNew = dueAtOfNext.orElse(
-                now.plus(WorkerReachability.silenceLimit(context.settings().workers())));
+        Duration dueAtOfNew = dueAtOfNext.orElse(now);
         Set<String> cancelled = new HashSet<>();
         for (JobRecord job : context.replica().activeJobs()) {
             if (cancellationTracker.isCancelled(job)) {
--- a/src/test/java/org/dunespindle/sim/HangingCancelledTasksTest.java
+++ b/src/test/java/org/dunespindle/sim/HangingCancelledTasksTest.java
@@ -108,6 +108,19 @@
         return IntStream.rangeClosed(1, (int) SimulatedCluster.CANCEL_TIMEOUT.toSeconds() - 1);
     }
 
+    /** Guards against processes that take a cancellation as due too late, since they found it at their start (review/5). */
+    @ParameterizedTest
+    @MethodSource("moments")
+    void allControllersCrashLate(int second) {
+        var scenario = new HangingMachinesScenario(second);
+        scenario.cancelOnHangingMachines(MACHINES - 1);
+        scenario.run(Duration.ofSeconds(second));
+        for (int node = 0; node < CONTROLLERS; node++) {
+            scenario.cluster.crash(node, RESTART_TIME);
+        }
+        scenario.assertEndedInTime();
+    }
+
     /** Guards against a leader that counts the silence of all machines anew after it stood still (review/6). */
     @ParameterizedTest
     @MethodSource("moments")
