sim tests: late copies of start commands that were answered before

On a service like this one such a copy ran a task twice after a controller or a machine had come back within a second.

--- a/src/test/java/org/dunespindle/sim/FakeWorker.java
+++ b/src/test/java/org/dunespindle/sim/FakeWorker.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import org.dunespindle.protocol.MessagePackCodec;
 import org.dunespindle.protocol.TaskId;
 
@@ -38,6 +40,9 @@
     boolean delaysHeartbeats;
 
     Duration heartbeatDelay = Duration.ZERO;
+    /** The attempts that were started in this session, forgotten ones too. */
+    private final Set<String> startedInSession = new HashSet<>();
+
     private Duration hungSince = Duration.ZERO;
     private Duration hungUntil = Duration.ZERO;
 
@@ -149,6 +154,7 @@
     private void expireLeaseIfDue() {
         if (sim.now().minus(leaseFrom).compareTo(SimulatedCluster.LEASE) > 0) {
             tasks.clear();
+            startedInSession.clear();
             session++;
             leaseFrom = sim.now();
             cluster.markTasksChanged();
@@ -257,6 +263,7 @@
 
     FakeStateStore.Reply commands(JsonNode body) {
         if (body.path("baton").asLong() < token || body.path("tenure").asLong() != session) {
+            cluster.recordEvent("refused command");
             return new FakeStateStore.Reply(409, heartbeat());
         }
         token = body.path("baton").asLong();
@@ -272,7 +279,10 @@
             switch (o.path("verb").asText()) {
                 case "run" -> {
                     if (t == null) {
+                        checkNotStartedBefore(task, key);
                         start(task, o.path("try").asLong(), key);
+                    } else {
+                        cluster.recordEvent("start of a known attempt");
                     }
                 }
                 case "halt" -> {
@@ -298,6 +308,17 @@
         }
     }
 
+    /** Checks that no late copy of a command starts an attempt that has ended here. A task that has completed isn't run again. */
+    private void checkNotStartedBefore(TaskId task, String key) {
+        if (!startedInSession.add(key) && !isCompleted(task)) {
+            cluster.violations.add("started again: %s on %s".formatted(key, id));
+        }
+    }
+
+    private boolean isCompleted(TaskId task) {
+        return cluster.done.getOrDefault(task.job(), Set.of()).contains(task.index());
+    }
+
     private void start(TaskId task, long attempt, String key) {
         Task t = new Task(task, attempt);
         tasks.put(key, t);
@@ -321,7 +342,10 @@
                 fetch(Duration.ofMillis(200), t, key, task);
                 return;
             }
-            if (t.phase.equals("pulling") && tasks.get(key) == t && !dead) {
+            boolean waitsForImage = t.phase.equals("pulling") && tasks.get(key) == t && !dead;
+            if (waitsForImage && cluster.workersKeepResults && isCompleted(task)) {
+                t.exit("done");
+            } else if (waitsForImage) {
                 t.phase = cluster.runs.isGang(task) ? "gathering" : "running";
                 t.endsAt = sim.now()
                         .plus(cluster.taskDurationOverride
--- a/src/test/java/org/dunespindle/sim/SimulatedCluster.java
+++ b/src/test/java/org/dunespindle/sim/SimulatedCluster.java
@@ -109,6 +109,11 @@
     /** The fraction of messages to workers that are delivered twice. */
     public double duplicateRate;
 
+    /** Copies of commands that workers have carried out and answered before; empty for none. */
+    Optional<LateCommandCopies> lateCommandCopies = Optional.empty();
+    /** A worker exits a task that has completed as soon as it has its image again, as the protocol says, instead of running it again. */
+    boolean workersKeepResults;
+
     int nextMachine = 1;
     /** The fraction of transactions whose answer is lost and that are applied late, after newer ones. */
     public double lateWriteRate;
@@ -358,6 +363,10 @@
                         () -> deliver(owner, from, address, method, target, body, new CompletableFuture<>()));
                 return result;
             }
+            if (target.equals("/orders")) {
+                lateCommandCopies.ifPresent(copies -> copies.schedule(
+                        result, () -> deliver(owner, from, address, method, target, body, new CompletableFuture<>())));
+            }
             for (int copy = 0; copy < (duplicated ? 2 : 1); copy++) {
                 int faultDelay = faultDelayMillis(from, address, target);
                 sim.after(
