--- a/src/test/java/org/dunespindle/sim/CancellationDisruption.java
+++ b/src/test/java/org/dunespindle/sim/CancellationDisruption.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /** A disruption of the processes that decide about cancelled tasks: what happens, and to which of them. */
 record CancellationDisruption(Kind kind, Target target) {
@@ -39,8 +40,7 @@
 
     /** All disruptions that leave at least one controller able to act. */
     static List<CancellationDisruption> all() {
-        return IntStream.range(0, Kind.values().length)
-                .mapToObj(i -> Kind.values()[i])
+        return Stream.of(Kind.values())
                 .flatMap(kind -> targets(kind).stream().map(target -> new CancellationDisruption(kind, target)))
                 .toList();
     }
@@ -79,12 +79,13 @@
     }
 
     private void begin(SimulatedCluster cluster, int node, Random random) {
-        Duration cut = drawn(random, Duration.ofSeconds(1), MAX_CUT);
+        Duration cut = RandomDurations.between(random, Duration.ofSeconds(1), MAX_CUT);
         switch (kind) {
-            case END -> cluster.crash(node, drawn(random, Duration.ofMillis(50), Duration.ofSeconds(6)));
+            case END ->
+                cluster.crash(node, RandomDurations.between(random, Duration.ofMillis(50), Duration.ofSeconds(6)));
             case PAUSE -> {
                 if (cluster.isRunning(node)) {
-                    cluster.freeze(node, drawn(random, Duration.ofSeconds(2), Duration.ofSeconds(9)));
+                    cluster.freeze(node, RandomDurations.between(random, Duration.ofSeconds(2), Duration.ofSeconds(9)));
                 }
             }
             case REFUSED -> refuse(cluster, node, cut);
@@ -114,10 +115,6 @@
         }
     }
 
-    private static Duration drawn(Random random, Duration least, Duration most) {
-        return least.plusMillis(random.nextInt((int) most.minus(least).toMillis()));
-    }
-
     /** A hash that is the same in every run, for seeds. */
     int hashOfNames() {
         return toString().hashCode();
--- a/src/test/java/org/dunespindle/sim/CancellationDisruptionsTest.java
+++ b/src/test/java/org/dunespindle/sim/CancellationDisruptionsTest.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Random;
-import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -18,20 +17,15 @@
     /** Within which the second disruption follows the first one. */
     private static final Duration MAX_INTERVAL = Duration.ofSeconds(12);
 
-    private static LongStream seeds(int defaultCount) {
-        long from = Long.getLong("mix.from", 1);
-        return LongStream.range(from, from + Integer.getInteger("mix.count", defaultCount));
-    }
-
     static Stream<Arguments> single() {
         return CancellationDisruption.all().stream()
-                .flatMap(disruption -> seeds(3).mapToObj(seed -> Arguments.of(disruption, seed)));
+                .flatMap(disruption -> SeedRange.of(1, 3).mapToObj(seed -> Arguments.of(disruption, seed)));
     }
 
     static Stream<Arguments> pairs() {
         return CancellationDisruption.all().stream()
                 .flatMap(first -> CancellationDisruption.all().stream()
-                        .flatMap(second -> seeds(1).mapToObj(seed -> Arguments.of(first, second, seed))));
+                        .flatMap(second -> SeedRange.of(1, 1).mapToObj(seed -> Arguments.of(first, second, seed))));
     }
 
     /** Guards against a process whose end, pause or cut leaves cancelled tasks on hanging machines. */
--- a/src/test/java/org/dunespindle/sim/HangingCancelledTasksTest.java
+++ b/src/test/java/org/dunespindle/sim/HangingCancelledTasksTest.java
@@ -20,8 +20,7 @@
     private static final Duration PAUSE = Duration.ofSeconds(4);
 
     static LongStream seeds() {
-        long from = Long.getLong("mix.from", 1);
-        return LongStream.range(from, from + Integer.getInteger("mix.count", 6));
+        return SeedRange.of(1, 6);
     }
 
     /** Guards against machines that hang together and are kept, as if partitioned, for longer than their cancelled tasks may last. */
--- a/src/test/java/org/dunespindle/sim/LateCommandCopies.java
+++ b/src/test/java/org/dunespindle/sim/LateCommandCopies.java
@@ -27,13 +27,8 @@
     /** Schedules the copies of a command, to be delivered once it has been answered. */
     void schedule(CompletableFuture<HttpClientResponse> answer, Runnable deliver) {
         answer.thenRun(() -> {
-            sim.after(delay(MAX_SHORT_DELAY), deliver);
-            sim.after(delay(MAX_LONG_DELAY), deliver);
+            sim.after(RandomDurations.between(random, MIN_DELAY, MAX_SHORT_DELAY), deliver);
+            sim.after(RandomDurations.between(random, MIN_DELAY, MAX_LONG_DELAY), deliver);
         });
     }
-
-    private Duration delay(Duration longest) {
-        return MIN_DELAY.plusMillis(
-                random.nextInt((int) longest.minus(MIN_DELAY).toMillis()));
-    }
 }
--- a/src/test/java/org/dunespindle/sim/LateStartCommandsTest.java
+++ b/src/test/java/org/dunespindle/sim/LateStartCommandsTest.java
@@ -38,8 +38,7 @@
     }
 
     static LongStream seeds() {
-        long from = Long.getLong("mix.from", 1);
-        return LongStream.range(from, from + Integer.getInteger("mix.count", 20));
+        return SeedRange.of(1, 20);
     }
 
     /** Guards against a late copy of a start that was carried out before, which runs a task twice or after its cancellation. */
@@ -67,7 +66,9 @@
     private static void addDisruptions(RandomFaultSchedule schedule, Random random) {
         for (int i = 0; i < DISRUPTIONS; i++) {
             Disruption disruption = Disruption.values()[random.nextInt(Disruption.values().length)];
-            schedule.at(drawn(random, FIRST_DISRUPTION, LAST_DISRUPTION), () -> begin(disruption, schedule, random));
+            schedule.at(
+                    RandomDurations.between(random, FIRST_DISRUPTION, LAST_DISRUPTION),
+                    () -> begin(disruption, schedule, random));
         }
     }
 
@@ -90,7 +91,7 @@
             case CONTROLLER_LOSES_ITS_WORKERS -> {
                 cluster.workerPartitionedNode = random.nextInt(3);
                 cluster.sim.after(
-                        drawn(random, Duration.ofSeconds(2), Duration.ofSeconds(12)),
+                        RandomDurations.between(random, Duration.ofSeconds(2), Duration.ofSeconds(12)),
                         () -> cluster.workerPartitionedNode = -1);
             }
             case JOBS_ARE_CANCELLED ->
@@ -107,16 +108,12 @@
         if (owner >= 0) {
             cluster.block(owner, machine);
             cluster.sim.after(
-                    drawn(random, Duration.ofMillis(500), Duration.ofSeconds(15)),
+                    RandomDurations.between(random, Duration.ofMillis(500), Duration.ofSeconds(15)),
                     () -> cluster.unblock(owner, machine));
         }
     }
 
     private static Duration lessThanASecond(Random random) {
-        return drawn(random, Duration.ofMillis(50), Duration.ofMillis(950));
-    }
-
-    private static Duration drawn(Random random, Duration least, Duration most) {
-        return least.plusMillis(random.nextInt((int) most.minus(least).toMillis()));
+        return RandomDurations.between(random, Duration.ofMillis(50), Duration.ofMillis(950));
     }
 }
--- a/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
+++ b/src/test/java/org/dunespindle/sim/RandomFailuresTest.java
@@ -34,8 +34,7 @@
     };
 
     private static LongStream drawnSeeds(int defaultCount) {
-        long from = Long.getLong("mix.from", 500);
-        return LongStream.range(from, from + Integer.getInteger("mix.count", defaultCount));
+        return SeedRange.of(500, defaultCount);
     }
 
     static LongStream seeds() {
--- a/src/test/java/org/dunespindle/sim/RandomFaultSchedule.java
+++ b/src/test/java/org/dunespindle/sim/RandomFaultSchedule.java
@@ -214,7 +214,7 @@
     }
 
     private Duration millis(int least, int most) {
-        return Duration.ofMillis(least + random.nextInt(most - least));
+        return RandomDurations.between(random, Duration.ofMillis(least), Duration.ofMillis(most));
     }
 
     private void endAfter(Duration length, Runnable end) {
--- a/src/test/java/org/dunespindle/sim/SimulatedCluster.java
+++ b/src/test/java/org/dunespindle/sim/SimulatedCluster.java
@@ -355,16 +355,15 @@
                     timeout, () -> result.completeExceptionally(new HttpCallException("no answer in time", true)));
             Random random = draws.of(target);
             boolean duplicated = random.nextDouble() < duplicateRate && address.startsWith("worker");
+            Runnable deliverUnanswered =
+                    () -> deliver(owner, from, address, method, target, body, new CompletableFuture<>());
             if (lateWriteRate > 0 && target.equals("/txn") && sim.random.nextDouble() < lateWriteRate) {
                 recordEvent("late write");
-                sim.after(
-                        minLateWriteMillis + sim.random.nextInt(lateWriteSpreadMillis),
-                        () -> deliver(owner, from, address, method, target, body, new CompletableFuture<>()));
+                sim.after(minLateWriteMillis + sim.random.nextInt(lateWriteSpreadMillis), deliverUnanswered);
                 return result;
             }
             if (target.equals("/orders")) {
-                lateCommandCopies.ifPresent(copies -> copies.schedule(
-                        result, () -> deliver(owner, from, address, method, target, body, new CompletableFuture<>())));
+                lateCommandCopies.ifPresent(copies -> copies.schedule(result, deliverUnanswered));
             }
             for (int copy = 0; copy < (duplicated ? 2 : 1); copy++) {
                 int faultDelay = faultDelayMillis(from, address, target);
